--- /dev/null
+++ b/benchmarks/swings/Arrivals.cpp
@@ -0,0 +1,74 @@
+#include "Arrivals.h"
+
+#include <cmath>
+#include <random>
+
+namespace foxtail::swings {
+
+namespace {
+
+constexpr double kStragglers = 0.03;
+constexpr int kStragglerFactor = 50;
+constexpr double kCrestFactor = 5.0;
+constexpr double kCrestClimb = 2.0;
+constexpr double kCrestPeriod = 20.0;
+// Flows among which a returning request falls.
+constexpr size_t kRecentFlows = 2000;
+
+using Seconds = std::chrono::duration<double>;
+
+// The rate over its base at a time since the start, in seconds.
+double
+RateFactor(double aTime, bool aCrests)
+{
+  const double phase = std::fmod(aTime, kCrestPeriod);
+  const double top = kCrestPeriod / 2;
+  const double away = std::abs(phase - top) / kCrestClimb;
+  return aCrests && away < 1.0 ? 1.0 + (kCrestFactor - 1.0) * (1.0 - away)
+                               : 1.0;
+}
+
+double
+MeanFactor(bool aCrests)
+{
+  return aCrests ? 1.0 + (kCrestFactor - 1.0) * kCrestClimb / kCrestPeriod
+                 : 1.0;
+}
+
+} // namespace
+
+std::vector<Arrival>
+MakeArrivals(const Workload& aWorkload)
+{
+  std::mt19937_64 random(aWorkload.mSeed);
+  std::uniform_real_distribution<double> part(0.0, 1.0);
+  const double mean = Seconds(aWorkload.mShort).count() *
+                      (1.0 - kStragglers + kStragglers * kStragglerFactor);
+  const double base = aWorkload.mLoad * kUpstreams * kSlots / mean /
+                      MeanFactor(aWorkload.mCrests);
+  const double highest = base * (aWorkload.mCrests ? kCrestFactor : 1.0);
+  std::exponential_distribution<double> gap(highest);
+  std::vector<Arrival> arrivals;
+  const double end = Seconds(aWorkload.mDuration).count();
+  // Thinning: candidates at the highest rate, kept by the rate of the moment.
+  for (double now = gap(random); now < end; now += gap(random)) {
+    if (part(random) * highest > base * RateFactor(now, aWorkload.mCrests)) {
+      continue;
+    }
+    Arrival& it = arrivals.emplace_back();
+    it.mAt = TimePoint(std::chrono::duration_cast<Duration>(Seconds(now)));
+    it.mStraggler = part(random) < kStragglers;
+    const double size = Seconds(aWorkload.mShort).count() *
+                        (it.mStraggler ? kStragglerFactor : 1) *
+                        (0.5 + part(random));
+    it.mSize = std::chrono::duration_cast<Duration>(Seconds(size));
+    const size_t known = arrivals.size() - 1;
+    const bool returning = known > 0 && part(random) < aWorkload.mReturning;
+    const size_t back =
+      1 + random() % std::max<size_t>(1, std::min(known, kRecentFlows));
+    it.mFlow = returning ? arrivals[known - back].mFlow : random();
+  }
+  return arrivals;
+}
+
+} // namespace foxtail::swings
--- a/include/foxtail/routing/Dispatcher.h
+++ b/include/foxtail/routing/Dispatcher.h
@@ -18,6 +18,13 @@
 {
   // Seeds every random choice; balancers should differ.
   uint64_t mSeed = 1;
+  // A request that would wait longer for a slot than this is refused.
+  milliseconds mMaxWait{ 250 };
+  // What LocalLoads tells: only requests that have become long, which change
+  // slowly, or every one in flight.
+  bool mTellOnlyLong = true;
+  // Take the slots that are shared out to this balancer first.
+  bool mUseHomeSlots = true;
 };
 
 // Schedules the requests of one balancer: picks the upstream of each, holds
@@ -34,13 +41,16 @@
   ~Dispatcher();
 
   // The accepted configuration. Indexes in later calls and actions refer to
-  // it. Work that waits for a removed upstream is bound anew; work of a
-  // removed service is refused at the next Tick.
+  // it; those of actions not yet carried out must be translated by the
+  // caller. Work that waits for a removed upstream is bound anew; work that
+  // waits for a removed service is refused at the next Tick. Work that runs
+  // at a removed upstream goes on; if it expires, the ExpireWork names
+  // kNoIndex.
   void SetSnapshot(config::SnapshotPtr aSnapshot, TimePoint aNow);
 
   // The incarnations of all balancers that share the upstreams, this one's
   // included.
-  void SetBalancers(std::vector<uint64_t> aIncarnations, uint64_t aOwn);
+  void SetBalancers(const std::vector<uint64_t>& aIncarnations, uint64_t aOwn);
 
   // What the upstream's own endpoint says. Unknown upstreams are ignored.
   void OnReport(const LoadReport& aReport, TimePoint aNow);
@@ -61,7 +71,9 @@
   // it changes.
   uint64_t LoadsRevision() const;
 
-  // Takes a request. Answers at once or later with SendWork or RefuseWork.
+  // Takes a request. Answers at once or later with SendWork or RefuseWork; a
+  // refusal for overload is given at once. When mBound is set, the SendWork
+  // names that upstream unless it was ejected or removed.
   void Submit(const Work& aWork, TimePoint aNow, WorkActions& aActions);
 
   // The upstream ended a request that was sent to it. True when the request
@@ -84,7 +96,7 @@
 
   // Requests that this balancer runs at an upstream.
   uint32_t InFlight(config::UpstreamIndex aUpstream) const;
-  // Requests of a service that wait here.
+  // Requests of a service that wait here, for any or for one upstream.
   uint32_t Queued(config::ServiceIndex aService) const;
   // Refusals since the start, by reason.
   uint64_t Refusals(RefusalReason aReason) const;
--- /dev/null
+++ b/include/foxtail/routing/SlotShare.h
@@ -0,0 +1,41 @@
+#ifndef foxtail_routing_SlotShare_h
+#define foxtail_routing_SlotShare_h
+
+#include <cstdint>
+#include <vector>
+
+#include "foxtail/config/Model.h"
+
+namespace foxtail::routing {
+
+// Shares out the slots of all upstreams among the balancers, evenly within
+// one slot a service. Every balancer with the same configuration and the same
+// peers computes the same shares, so no message is needed.
+class SlotShare
+{
+public:
+  // The balancers by incarnation; aOwn need not be among them.
+  void SetBalancers(std::vector<uint64_t> aIncarnations, uint64_t aOwn);
+  void SetSnapshot(const config::Snapshot& aSnapshot);
+
+  uint32_t Balancers() const { return mCount; }
+  // This balancer's part of aAmount things shared by all balancers.
+  uint32_t Part(uint32_t aAmount) const;
+  // How many of the upstream's slots this balancer takes first.
+  uint32_t Home(config::UpstreamIndex aUpstream) const
+  {
+    return mHome[aUpstream];
+  }
+
+private:
+  void Assign(const config::Snapshot& aSnapshot,
+              const config::Service& aService);
+
+  uint32_t mCount = 1;
+  uint32_t mRank = 0;
+  std::vector<uint32_t> mHome;
+};
+
+} // namespace foxtail::routing
+
+#endif
--- a/include/foxtail/routing/Work.h
+++ b/include/foxtail/routing/Work.h
@@ -1,6 +1,7 @@
 #ifndef foxtail_routing_Work_h
 #define foxtail_routing_Work_h
 
+#include <cstddef>
 #include <cstdint>
 #include <variant>
 #include <vector>
@@ -43,6 +44,8 @@
   ShedEverywhere
 };
 
+constexpr size_t kRefusalReasons = 4;
+
 // Send the request to this upstream now.
 struct SendWork
 {
--- a/src/routing/Dispatcher.cpp
+++ b/src/routing/Dispatcher.cpp
@@ -1,23 +1,63 @@
 #include "foxtail/routing/Dispatcher.h"
 
 #include <algorithm>
-#include <deque>
-#include <set>
+#include <queue>
 
+#include <absl/container/btree_map.h>
+#include <absl/container/btree_set.h>
 #include <absl/container/flat_hash_map.h>
 
+#include "ServiceQueue.h"
+#include "UpstreamChoice.h"
+#include "UpstreamTable.h"
+#include "foxtail/core/Hash.h"
 #include "foxtail/routing/DefaultUpstream.h"
 
 namespace foxtail::routing {
 
 namespace {
 
-constexpr seconds kRetryAfter{ 1 };
+// While requests wait, free slots are looked for this often besides at every
+// end of a request.
+constexpr milliseconds kBacklogPeriod{ 2 };
+constexpr milliseconds kReviewPeriod{ 100 };
+// Waiting requests among which one is sought whose default upstream is free.
+constexpr size_t kMatchDepth = 16;
+// Upstreams that one request is sent to at most.
+constexpr size_t kMaxAttempts = 3;
+// Callers are spread over this many seconds when they come back.
+constexpr uint64_t kRetryAfterSpread = 3;
+
+enum class JobState
+{
+  Waiting,
+  Sent
+};
 
 struct Job
 {
   Work mWork;
+  JobState mState = JobState::Waiting;
+  // Orders the waiting by submission, over all services.
+  uint64_t mOrder = 0;
+  // Where it was sent; kNoIndex once that upstream has been removed.
   config::UpstreamIndex mUpstream = config::kNoIndex;
+  config::UpstreamIndex mDefault = config::kNoIndex;
+  TimePoint mSent;
+  bool mLong = false;
+  Tried mTried;
+};
+
+// When a request that runs becomes long.
+struct LongTimer
+{
+  TimePoint mDue;
+  uint32_t mSerial;
+
+  friend bool operator>(const LongTimer& a, const LongTimer& b)
+  {
+    return a.mDue > b.mDue;
+  }
 };
 
 } // namespace
@@ -25,90 +65,738 @@
 class Dispatcher::Impl
 {
 public:
-  explicit Impl(const DispatcherSettings&) {}
+  explicit Impl(const DispatcherSettings& aSettings)
+    : mSettings(aSettings)
+  {
+  }
+
+  void SetSnapshot(config::SnapshotPtr aSnapshot, TimePoint aNow);
+  void Submit(const Work& aWork, TimePoint aNow, WorkActions& aActions);
+  bool Finish(uint32_t aSerial,
+              Outcome aOutcome,
+              TimePoint aNow,
+              WorkActions& aActions);
+  void Cancel(uint32_t aSerial, TimePoint aNow, WorkActions& aActions);
+  void Tick(TimePoint aNow, WorkActions& aActions);
+  std::optional<TimePoint> NextTick() const;
+  std::vector<LoadReport> LocalLoads(TimePoint aNow) const;
+
+  UpstreamTable mTable;
+  std::vector<ServiceQueue> mQueues;
+  std::array<uint64_t, kRefusalReasons> mRefusals{};
+  uint64_t mLoadsRevision = 0;
+
+private:
+  // Submission.
+  bool IsBound(const Job& aJob) const;
+  void SubmitBound(Job& aJob, TimePoint aNow, WorkActions& aActions);
+  void SubmitUnbound(Job& aJob, TimePoint aNow, WorkActions& aActions);
+  Duration BoundWait(const Job& aJob) const;
+
+  // Waiting requests.
+  void Enqueue(Job& aJob, bool aInFront, TimePoint aNow);
+  void Dequeue(const Job& aJob);
+  void UpdateBacklog(config::ServiceIndex aService);
+  void SendWaiting(config::ServiceIndex aService,
+                   TimePoint aNow,
+                   WorkActions& aActions);
+  void SendBound(config::ServiceIndex aService,
+                 TimePoint aNow,
+                 WorkActions& aActions);
+  bool SendOne(config::ServiceIndex aService,
+               TimePoint aNow,
+               WorkActions& aActions);
+  bool MaySendBound(config::UpstreamIndex aUpstream,
+                    bool aBacklog,
+                    TimePoint aNow) const;
+  bool IsBelowLimit(config::ServiceIndex aService, bool aBacklog) const;
+  void Send(Job& aJob,
+            config::UpstreamIndex aUpstream,
+            TimePoint aNow,
+            WorkActions& aActions);
+
+  // Ends.
+  bool Retry(Job& aJob, TimePoint aNow, WorkActions& aActions);
+  bool HasUntried(const Job& aJob) const;
+  void Release(Job& aJob);
+  void Forget(const Job& aJob);
+  void Refuse(const Work& aWork, RefusalReason aReason, WorkActions& aActions);
+  void Expire(Job& aJob, TimePoint aNow, WorkActions& aActions);
+
+  // Housekeeping.
+  void ExpireDue(TimePoint aNow, WorkActions& aActions);
+  void MarkLong(TimePoint aNow);
+  void Review(TimePoint aNow);
+  void Rebind(config::UpstreamIndex aUpstream, TimePoint aNow);
+  void UpdateDemand(config::ServiceIndex aService, TimePoint aNow);
+  void Tell(config::UpstreamIndex aUpstream, int aChange);
+  void Translate(Job& aJob,
+                 const config::Snapshot& aBefore,
+                 const std::vector<config::ServiceIndex>& aServices);
+  void RebuildQueues(TimePoint aNow);
+  uint64_t Random() { return MixHash(mSettings.mSeed, ++mDraws); }
+  ChoiceRules Rules(bool aBacklog) const
+  {
+    return { mSettings.mUseHomeSlots, aBacklog };
+  }
+  const config::Snapshot& Current() const { return *mTable.Snapshot(); }
 
-  config::SnapshotPtr mSnapshot;
-  std::vector<uint32_t> mInFlight;
+  DispatcherSettings mSettings;
+  uint64_t mDraws = 0;
+  uint64_t mOrders = 0;
+  TimePoint mNow;
+  TimePoint mNextReview;
   absl::flat_hash_map<uint32_t, Job> mJobs;
-  std::vector<std::deque<uint32_t>> mQueues;
-  std::set<std::pair<TimePoint, uint32_t>> mDeadlines;
-  std::array<uint64_t, 4> mRefusals{};
+  absl::btree_set<std::pair<TimePoint, uint32_t>> mDeadlines;
+  std::priority_queue<LongTimer, std::vector<LongTimer>, std::greater<>>
+    mLongTimers;
+  // Services with waiting requests.
+  absl::btree_set<config::ServiceIndex> mBacklogged;
+  // Waiting requests whose service was removed.
+  std::vector<Work> mHomeless;
+  // What peers are told, by upstream.
+  absl::btree_map<config::UpstreamIndex, uint32_t> mTold;
+};
 
-  void Refuse(uint32_t aSerial, RefusalReason aReason, WorkActions& aActions)
-  {
-    ++mRefusals[static_cast<size_t>(aReason)];
-    aActions.push_back(RefuseWork{ aSerial, aReason, kRetryAfter });
+// Configuration.
+
+void
+Dispatcher::Impl::SetSnapshot(config::SnapshotPtr aSnapshot, TimePoint aNow)
+{
+  mNow = aNow;
+  const config::SnapshotPtr before = mTable.Snapshot();
+  mTable.SetSnapshot(std::move(aSnapshot), aNow);
+  const auto& services = Current().mServices;
+  std::vector<ServiceQueue> queues(services.size(),
+                                   ServiceQueue(mSettings.mMaxWait));
+  std::vector<config::ServiceIndex> moved;
+  if (before) {
+    absl::flat_hash_map<std::string, config::ServiceIndex> byName;
+    for (config::ServiceIndex it = 0; it < services.size(); ++it) {
+      byName[services[it].mName] = it;
+    }
+    for (config::ServiceIndex it = 0; it < mQueues.size(); ++it) {
+      const auto found = byName.find(before->mServices[it].mName);
+      moved.push_back(found == byName.end() ? config::kNoIndex : found->second);
+      if (found != byName.end()) {
+        queues[found->second] = std::move(mQueues[it]);
+      }
+    }
   }
+  mQueues = std::move(queues);
+  mTold.clear();
+  for (auto& [serial, job] : mJobs) {
+    Translate(job, *before, moved);
+  }
+  ++mLoadsRevision;
+  RebuildQueues(aNow);
+}
 
-  void Forget(uint32_t aSerial)
-  {
-    const Job& job = mJobs.at(aSerial);
-    mDeadlines.erase({ job.mWork.mDeadline, aSerial });
-    mJobs.erase(aSerial);
+void
+Dispatcher::Impl::Translate(Job& aJob,
+                            const config::Snapshot& aBefore,
+                            const std::vector<config::ServiceIndex>& aServices)
+{
+  const auto translate = [&](config::UpstreamIndex it) {
+    return it == config::kNoIndex ? it
+                                  : mTable.Find(aBefore.mUpstreams[it].mId);
+  };
+  Work& work = aJob.mWork;
+  if (work.mService != config::kNoIndex) {
+    work.mService = aServices[work.mService];
+  }
+  work.mBound = translate(work.mBound);
+  aJob.mUpstream = translate(aJob.mUpstream);
+  for (config::UpstreamIndex& it : aJob.mTried) {
+    it = translate(it);
   }
+  aJob.mDefault = work.mService == config::kNoIndex
+                    ? config::kNoIndex
+                    : DefaultUpstream(Current(), work.mService, work.mFlowHash);
+  const bool told = aJob.mLong || !mSettings.mTellOnlyLong;
+  if (aJob.mUpstream != config::kNoIndex && told) {
+    ++mTold[aJob.mUpstream];
+  }
+}
 
-  bool HasSlot(config::UpstreamIndex aUpstream) const
-  {
-    return mInFlight[aUpstream] < mSnapshot->mUpstreams[aUpstream].mSlots;
+void
+Dispatcher::Impl::RebuildQueues(TimePoint aNow)
+{
+  std::vector<Job*> waiting;
+  for (auto& [serial, job] : mJobs) {
+    if (job.mState == JobState::Waiting) {
+      waiting.push_back(&job);
+    }
+  }
+  std::sort(waiting.begin(), waiting.end(), [](const Job* a, const Job* b) {
+    return a->mOrder < b->mOrder;
+  });
+  mBacklogged.clear();
+  for (ServiceQueue& it : mQueues) {
+    it.mWaiting.clear();
+    it.mBound = 0;
+  }
+  for (config::UpstreamIndex it = 0; it < Current().mUpstreams.size(); ++it) {
+    mTable.State(it).mBound.clear();
   }
+  for (Job* it : waiting) {
+    if (it->mWork.mService != config::kNoIndex) {
+      Enqueue(*it, false, aNow);
+      continue;
+    }
+    mHomeless.push_back(it->mWork);
+    Forget(*it);
+  }
+}
 
-  config::UpstreamIndex Choose(const Work& aWork) const
-  {
-    if (aWork.mBound != config::kNoIndex) {
-      return HasSlot(aWork.mBound) ? aWork.mBound : config::kNoIndex;
+// Submission.
+
+void
+Dispatcher::Impl::Submit(const Work& aWork,
+                         TimePoint aNow,
+                         WorkActions& aActions)
+{
+  mNow = aNow;
+  if (aWork.mService >= mQueues.size()) {
+    Refuse(aWork, RefusalReason::NoUpstream, aActions);
+    return;
+  }
+  if (aWork.mDeadline <= aNow) {
+    Refuse(aWork, RefusalReason::DeadlinePassed, aActions);
+    return;
+  }
+  const auto [it, isNew] = mJobs.try_emplace(aWork.mSerial);
+  if (!isNew) {
+    return;
+  }
+  Job& job = it->second;
+  job.mWork = aWork;
+  job.mOrder = ++mOrders;
+  mDeadlines.insert({ aWork.mDeadline, aWork.mSerial });
+  mQueues[aWork.mService].mRetries.OnRequest();
+  if (IsBound(job)) {
+    SubmitBound(job, aNow, aActions);
+  } else {
+    SubmitUnbound(job, aNow, aActions);
+  }
+  UpdateDemand(aWork.mService, aNow);
+}
+
+bool
+Dispatcher::Impl::IsBound(const Job& aJob) const
+{
+  const config::UpstreamIndex bound = aJob.mWork.mBound;
+  return bound < Current().mUpstreams.size() &&
+         Current().mUpstreams[bound].mService == aJob.mWork.mService &&
+         !mTable.State(bound).mOutlier.IsEjected();
+}
+
+void
+Dispatcher::Impl::SubmitBound(Job& aJob, TimePoint aNow, WorkActions& aActions)
+{
+  const config::UpstreamIndex bound = aJob.mWork.mBound;
+  if (mTable.State(bound).mBound.empty() && MaySendBound(bound, false, aNow)) {
+    Send(aJob, bound, aNow, aActions);
+    return;
+  }
+  const Duration remaining = aJob.mWork.mDeadline - aNow;
+  const Duration bearable = std::min<Duration>(mSettings.mMaxWait, remaining);
+  if (BoundWait(aJob) > bearable) {
+    const Work work = aJob.mWork;
+    Forget(aJob);
+    Refuse(work, RefusalReason::Overloaded, aActions);
+    return;
+  }
+  Enqueue(aJob, false, aNow);
+  SendWaiting(aJob.mWork.mService, aNow, aActions);
+}
+
+void
+Dispatcher::Impl::SubmitUnbound(Job& aJob,
+                                TimePoint aNow,
+                                WorkActions& aActions)
+{
+  const Work work = aJob.mWork;
+  ServiceQueue& queue = mQueues[work.mService];
+  if (mTable.PoolOf(work.mService).mCandidates.empty()) {
+    Forget(aJob);
+    Refuse(work, RefusalReason::NoUpstream, aActions);
+    return;
+  }
+  aJob.mDefault = DefaultUpstream(Current(), work.mService, work.mFlowHash);
+  if (queue.mWaiting.empty() && IsBelowLimit(work.mService, false)) {
+    const config::UpstreamIndex chosen = ChooseUpstream(mTable,
+                                                        work.mService,
+                                                        aJob.mDefault,
+                                                        aJob.mTried,
+                                                        Rules(false),
+                                                        Random(),
+                                                        aNow);
+    if (chosen != config::kNoIndex) {
+      Send(aJob, chosen, aNow, aActions);
+      return;
     }
-    const config::UpstreamIndex preferred =
-      DefaultUpstream(*mSnapshot, aWork.mService, aWork.mFlowHash);
-    if (preferred != config::kNoIndex && HasSlot(preferred)) {
-      return preferred;
+  }
+  if (!queue.mAdmission.Admits(
+        queue.mWaiting.size(), work.mDeadline - aNow, aNow)) {
+    Forget(aJob);
+    Refuse(work, RefusalReason::Overloaded, aActions);
+    return;
+  }
+  Enqueue(aJob, false, aNow);
+  SendWaiting(work.mService, aNow, aActions);
+}
+
+Duration
+Dispatcher::Impl::BoundWait(const Job& aJob) const
+{
+  const config::UpstreamIndex bound = aJob.mWork.mBound;
+  const uint32_t slots = std::max(1U, mTable.Share().Home(bound));
+  const size_t ahead = mTable.State(bound).mBound.size();
+  return mQueues[aJob.mWork.mService].mTimes.Mean() * ahead / slots;
+}
+
+// Waiting requests.
+
+void
+Dispatcher::Impl::Enqueue(Job& aJob, bool aInFront, TimePoint aNow)
+{
+  const uint32_t serial = aJob.mWork.mSerial;
+  const config::ServiceIndex service = aJob.mWork.mService;
+  ServiceQueue& queue = mQueues[service];
+  aJob.mState = JobState::Waiting;
+  if (!IsBound(aJob)) {
+    aJob.mWork.mBound = config::kNoIndex;
+    if (queue.mWaiting.empty()) {
+      const double slots =
+        std::max(1U, mTable.Share().Part(mTable.PoolOf(service).mSlots));
+      const std::chrono::duration<double> mean = queue.mTimes.Mean();
+      queue.mAdmission.OnBacklog(slots / mean.count(), aNow);
     }
-    config::UpstreamIndex best = config::kNoIndex;
-    for (const config::UpstreamIndex it :
-         mSnapshot->mServices[aWork.mService].mUpstreams) {
-      const bool usable = !mSnapshot->mUpstreams[it].mDraining && HasSlot(it);
-      if (usable &&
-          (best == config::kNoIndex || mInFlight[it] < mInFlight[best])) {
-        best = it;
-      }
+  }
+  const bool bound = aJob.mWork.mBound != config::kNoIndex;
+  auto& waiting =
+    bound ? mTable.State(aJob.mWork.mBound).mBound : queue.mWaiting;
+  waiting.insert(aInFront ? waiting.begin() : waiting.end(), serial);
+  queue.mBound += bound ? 1 : 0;
+  mBacklogged.insert(service);
+}
+
+void
+Dispatcher::Impl::Dequeue(const Job& aJob)
+{
+  ServiceQueue& queue = mQueues[aJob.mWork.mService];
+  const bool bound = aJob.mWork.mBound != config::kNoIndex;
+  auto& waiting =
+    bound ? mTable.State(aJob.mWork.mBound).mBound : queue.mWaiting;
+  waiting.erase(std::find(waiting.begin(), waiting.end(), aJob.mWork.mSerial));
+  queue.mBound -= bound ? 1 : 0;
+  UpdateBacklog(aJob.mWork.mService);
+}
+
+void
+Dispatcher::Impl::UpdateBacklog(config::ServiceIndex aService)
+{
+  const ServiceQueue& queue = mQueues[aService];
+  if (queue.mWaiting.empty() && queue.mBound == 0) {
+    mBacklogged.erase(aService);
+  }
+}
+
+void
+Dispatcher::Impl::SendWaiting(config::ServiceIndex aService,
+                              TimePoint aNow,
+                              WorkActions& aActions)
+{
+  const ServiceQueue& queue = mQueues[aService];
+  if (queue.mBound > 0) {
+    SendBound(aService, aNow, aActions);
+  }
+  while (!queue.mWaiting.empty() && IsBelowLimit(aService, true) &&
+         SendOne(aService, aNow, aActions)) {
+  }
+}
+
+void
+Dispatcher::Impl::SendBound(config::ServiceIndex aService,
+                            TimePoint aNow,
+                            WorkActions& aActions)
+{
+  for (const config::UpstreamIndex it :
+       Current().mServices[aService].mUpstreams) {
+    const auto& waiting = mTable.State(it).mBound;
+    while (!waiting.empty() && MaySendBound(it, true, aNow)) {
+      Job& job = mJobs.at(waiting.front());
+      Dequeue(job);
+      Send(job, it, aNow, aActions);
     }
-    return best;
   }
+}
 
-  bool TrySend(Job& aJob, WorkActions& aActions)
-  {
-    const config::UpstreamIndex upstream = Choose(aJob.mWork);
-    if (upstream == config::kNoIndex) {
-      return false;
+bool
+Dispatcher::Impl::SendOne(config::ServiceIndex aService,
+                          TimePoint aNow,
+                          WorkActions& aActions)
+{
+  ServiceQueue& queue = mQueues[aService];
+  Job* job = nullptr;
+  config::UpstreamIndex chosen = config::kNoIndex;
+  // Prefer, among the oldest, one that needs no record of its upstream.
+  const size_t depth = std::min(kMatchDepth, queue.mWaiting.size());
+  for (size_t n = 0; n < depth && chosen == config::kNoIndex; ++n) {
+    job = &mJobs.at(queue.mWaiting[n]);
+    if (IsGoodDefault(mTable, job->mDefault, job->mTried, Rules(true), aNow)) {
+      chosen = job->mDefault;
+    }
+  }
+  if (chosen == config::kNoIndex) {
+    job = &mJobs.at(queue.mWaiting.front());
+    chosen = ChooseUpstream(mTable,
+                            aService,
+                            job->mDefault,
+                            job->mTried,
+                            Rules(true),
+                            Random(),
+                            aNow);
+  }
+  if (chosen == config::kNoIndex) {
+    return false;
+  }
+  Dequeue(*job);
+  queue.mAdmission.OnDrained(aNow);
+  Send(*job, chosen, aNow, aActions);
+  return true;
+}
+
+bool
+Dispatcher::Impl::MaySendBound(config::UpstreamIndex aUpstream,
+                               bool aBacklog,
+                               TimePoint aNow) const
+{
+  const UpstreamState& state = mTable.State(aUpstream);
+  // A flow cannot go elsewhere, so each balancer may always run one request.
+  const bool none = state.mOwn == 0 && state.mBlockedUntil <= aNow;
+  return none || mTable.Room(aUpstream, aBacklog, aNow) >= 1;
+}
+
+bool
+Dispatcher::Impl::IsBelowLimit(config::ServiceIndex aService,
+                               bool aBacklog) const
+{
+  const Pool& pool = mTable.PoolOf(aService);
+  const double demand = mQueues[aService].mDemand.Average();
+  return pool.mOwn - pool.mOwnLong <
+         ShortLimit(pool, mTable.Share(), demand, aBacklog);
+}
+
+void
+Dispatcher::Impl::Send(Job& aJob,
+                       config::UpstreamIndex aUpstream,
+                       TimePoint aNow,
+                       WorkActions& aActions)
+{
+  const uint32_t serial = aJob.mWork.mSerial;
+  aJob.mState = JobState::Sent;
+  aJob.mUpstream = aUpstream;
+  aJob.mSent = aNow;
+  aJob.mLong = false;
+  mTable.OnSent(aUpstream, aNow);
+  if (!mSettings.mTellOnlyLong) {
+    Tell(aUpstream, 1);
+  }
+  const Duration longAge = mQueues[aJob.mWork.mService].mTimes.LongAge();
+  mLongTimers.push({ aNow + longAge, serial });
+  aActions.push_back(SendWork{ serial, aUpstream });
+}
+
+// Ends.
+
+bool
+Dispatcher::Impl::Finish(uint32_t aSerial,
+                         Outcome aOutcome,
+                         TimePoint aNow,
+                         WorkActions& aActions)
+{
+  mNow = aNow;
+  const auto it = mJobs.find(aSerial);
+  if (it == mJobs.end() || it->second.mState != JobState::Sent) {
+    return false;
+  }
+  Job& job = it->second;
+  const config::UpstreamIndex upstream = job.mUpstream;
+  const config::ServiceIndex service = job.mWork.mService;
+  const Duration took = aNow - job.mSent;
+  const TimePoint sent = job.mSent;
+  Release(job);
+  if (upstream != config::kNoIndex) {
+    if (aOutcome == Outcome::Answered) {
+      ServiceTimes& times = mQueues[service].mTimes;
+      mTable.OnAnswer(upstream, aNow);
+      if (took <= times.Median()) {
+        mTable.OnPromptAnswer(upstream, sent);
+      }
+      times.OnAnswer(took);
+    } else if (aOutcome == Outcome::Shed) {
+      mTable.OnShed(upstream, aNow);
+    } else if (aOutcome == Outcome::TimedOut) {
+      mTable.OnFailure(upstream);
     }
-    aJob.mUpstream = upstream;
-    ++mInFlight[upstream];
-    aActions.push_back(SendWork{ aJob.mWork.mSerial, upstream });
+  }
+  const bool retried = aOutcome == Outcome::Shed && Retry(job, aNow, aActions);
+  if (!retried) {
+    Forget(job);
+  }
+  if (service != config::kNoIndex) {
+    SendWaiting(service, aNow, aActions);
+    UpdateDemand(service, aNow);
+  }
+  return retried;
+}
+
+bool
+Dispatcher::Impl::Retry(Job& aJob, TimePoint aNow, WorkActions& aActions)
+{
+  const Work work = aJob.mWork;
+  aJob.mTried.push_back(aJob.mUpstream);
+  const bool possible =
+    work.mService != config::kNoIndex && work.mDeadline > aNow &&
+    aJob.mTried.size() < kMaxAttempts && (IsBound(aJob) || HasUntried(aJob));
+  if (possible && mQueues[work.mService].mRetries.TryRetry()) {
+    aJob.mUpstream = config::kNoIndex;
+    Enqueue(aJob, true, aNow);
     return true;
   }
+  Refuse(work, RefusalReason::ShedEverywhere, aActions);
+  return false;
+}
+
+bool
+Dispatcher::Impl::HasUntried(const Job& aJob) const
+{
+  const auto& candidates = mTable.PoolOf(aJob.mWork.mService).mCandidates;
+  return std::any_of(
+    candidates.begin(), candidates.end(), [&](config::UpstreamIndex it) {
+      return std::find(aJob.mTried.begin(), aJob.mTried.end(), it) ==
+             aJob.mTried.end();
+    });
+}
+
+void
+Dispatcher::Impl::Release(Job& aJob)
+{
+  if (aJob.mUpstream == config::kNoIndex) {
+    return;
+  }
+  mTable.OnEnded(aJob.mUpstream, aJob.mLong);
+  if (aJob.mLong || !mSettings.mTellOnlyLong) {
+    Tell(aJob.mUpstream, -1);
+  }
+}
 
-  void SendQueued(config::ServiceIndex aService, WorkActions& aActions)
-  {
-    auto& queue = mQueues[aService];
-    for (auto it = queue.begin(); it != queue.end();) {
-      it = TrySend(mJobs.at(*it), aActions) ? queue.erase(it) : it + 1;
+void
+Dispatcher::Impl::Forget(const Job& aJob)
+{
+  const uint32_t serial = aJob.mWork.mSerial;
+  mDeadlines.erase({ aJob.mWork.mDeadline, serial });
+  mJobs.erase(serial);
+}
+
+void
+Dispatcher::Impl::Refuse(const Work& aWork,
+                         RefusalReason aReason,
+                         WorkActions& aActions)
+{
+  Duration wait{ 0 };
+  if (aWork.mService < mQueues.size()) {
+    const ServiceQueue& queue = mQueues[aWork.mService];
+    wait = queue.mAdmission.ExpectedWait(queue.mWaiting.size(), mNow);
+  }
+  // Spread, so that the refused do not make the next crest together.
+  const seconds spread(1 + Random() % kRetryAfterSpread);
+  const seconds after = std::chrono::floor<seconds>(wait) + spread;
+  ++mRefusals[static_cast<size_t>(aReason)];
+  aActions.push_back(RefuseWork{ aWork.mSerial, aReason, after });
+}
+
+void
+Dispatcher::Impl::Cancel(uint32_t aSerial,
+                         TimePoint aNow,
+                         WorkActions& aActions)
+{
+  mNow = aNow;
+  const auto it = mJobs.find(aSerial);
+  if (it == mJobs.end()) {
+    return;
+  }
+  Job& job = it->second;
+  const config::ServiceIndex service = job.mWork.mService;
+  if (job.mState == JobState::Waiting) {
+    Dequeue(job);
+  } else {
+    aActions.push_back(ExpireWork{ aSerial, job.mUpstream });
+    Release(job);
+  }
+  Forget(job);
+  if (service != config::kNoIndex) {
+    SendWaiting(service, aNow, aActions);
+  }
+}
+
+void
+Dispatcher::Impl::Expire(Job& aJob, TimePoint aNow, WorkActions& aActions)
+{
+  const Work work = aJob.mWork;
+  if (aJob.mState == JobState::Waiting) {
+    Dequeue(aJob);
+    Forget(aJob);
+    Refuse(work, RefusalReason::DeadlinePassed, aActions);
+    return;
+  }
+  aActions.push_back(ExpireWork{ work.mSerial, aJob.mUpstream });
+  Release(aJob);
+  if (aJob.mUpstream != config::kNoIndex) {
+    mTable.OnFailure(aJob.mUpstream);
+  }
+  Forget(aJob);
+  if (work.mService != config::kNoIndex) {
+    SendWaiting(work.mService, aNow, aActions);
+  }
+}
+
+// Housekeeping.
+
+void
+Dispatcher::Impl::Tick(TimePoint aNow, WorkActions& aActions)
+{
+  mNow = aNow;
+  for (const Work& it : mHomeless) {
+    Refuse(it, RefusalReason::NoUpstream, aActions);
+  }
+  mHomeless.clear();
+  ExpireDue(aNow, aActions);
+  MarkLong(aNow);
+  if (aNow >= mNextReview && mTable.Snapshot()) {
+    mNextReview = aNow + kReviewPeriod;
+    Review(aNow);
+  }
+  const std::vector<config::ServiceIndex> backlogged(mBacklogged.begin(),
+                                                     mBacklogged.end());
+  for (const config::ServiceIndex it : backlogged) {
+    SendWaiting(it, aNow, aActions);
+    UpdateDemand(it, aNow);
+  }
+}
+
+std::optional<TimePoint>
+Dispatcher::Impl::NextTick() const
+{
+  if (!mHomeless.empty()) {
+    return mNow;
+  }
+  if (mDeadlines.empty()) {
+    return std::nullopt;
+  }
+  TimePoint next = std::min(mDeadlines.begin()->first, mNextReview);
+  if (!mLongTimers.empty()) {
+    next = std::min(next, mLongTimers.top().mDue);
+  }
+  if (!mBacklogged.empty()) {
+    next = std::min(next, mNow + kBacklogPeriod);
+  }
+  return next;
+}
+
+void
+Dispatcher::Impl::ExpireDue(TimePoint aNow, WorkActions& aActions)
+{
+  while (!mDeadlines.empty() && mDeadlines.begin()->first <= aNow) {
+    Expire(mJobs.at(mDeadlines.begin()->second), aNow, aActions);
+  }
+}
+
+void
+Dispatcher::Impl::MarkLong(TimePoint aNow)
+{
+  while (!mLongTimers.empty() && mLongTimers.top().mDue <= aNow) {
+    const LongTimer timer = mLongTimers.top();
+    mLongTimers.pop();
+    const auto it = mJobs.find(timer.mSerial);
+    // Ended, or sent again since and due later.
+    if (it == mJobs.end() || it->second.mState != JobState::Sent ||
+        it->second.mLong || it->second.mSent >= timer.mDue) {
+      continue;
+    }
+    Job& job = it->second;
+    job.mLong = true;
+    if (job.mUpstream == config::kNoIndex) {
+      continue;
+    }
+    mTable.OnBecameLong(job.mUpstream);
+    if (mSettings.mTellOnlyLong) {
+      Tell(job.mUpstream, 1);
     }
   }
+}
 
-  void Release(uint32_t aSerial, WorkActions& aActions)
-  {
-    const Job& job = mJobs.at(aSerial);
-    const config::ServiceIndex service = job.mWork.mService;
-    --mInFlight[job.mUpstream];
-    Forget(aSerial);
-    SendQueued(service, aActions);
+void
+Dispatcher::Impl::Review(TimePoint aNow)
+{
+  std::vector<config::UpstreamIndex> ejected;
+  mTable.Review(aNow, ejected);
+  for (const config::UpstreamIndex it : ejected) {
+    Rebind(it, aNow);
   }
+}
 
-  void Dequeue(const Job& aJob)
-  {
-    auto& queue = mQueues[aJob.mWork.mService];
-    queue.erase(std::find(queue.begin(), queue.end(), aJob.mWork.mSerial));
+void
+Dispatcher::Impl::Rebind(config::UpstreamIndex aUpstream, TimePoint aNow)
+{
+  const std::deque<uint32_t> waiting = mTable.State(aUpstream).mBound;
+  // From the youngest, so that the oldest ends up in front.
+  for (auto it = waiting.rbegin(); it != waiting.rend(); ++it) {
+    Job& job = mJobs.at(*it);
+    Dequeue(job);
+    job.mDefault =
+      DefaultUpstream(Current(), job.mWork.mService, job.mWork.mFlowHash);
+    Enqueue(job, true, aNow);
   }
-};
+}
+
+void
+Dispatcher::Impl::UpdateDemand(config::ServiceIndex aService, TimePoint aNow)
+{
+  const Pool& pool = mTable.PoolOf(aService);
+  ServiceQueue& queue = mQueues[aService];
+  const size_t wanted = pool.mOwn - pool.mOwnLong + queue.mWaiting.size();
+  queue.mDemand.Update(static_cast<uint32_t>(wanted), aNow);
+}
+
+void
+Dispatcher::Impl::Tell(config::UpstreamIndex aUpstream, int aChange)
+{
+  uint32_t& told = mTold[aUpstream];
+  told += aChange;
+  if (told == 0) {
+    mTold.erase(aUpstream);
+  }
+  ++mLoadsRevision;
+}
+
+std::vector<LoadReport>
+Dispatcher::Impl::LocalLoads(TimePoint aNow) const
+{
+  std::vector<LoadReport> loads;
+  loads.reserve(mTold.size());
+  for (const auto& [upstream, count] : mTold) {
+    LoadReport& it = loads.emplace_back();
+    it.mUpstream = Current().mUpstreams[upstream].mId;
+    it.mInFlight = count;
+    it.mTaken = aNow;
+  }
+  return loads;
+}
+
+// The public face.
 
 Dispatcher::Dispatcher(const DispatcherSettings& aSettings)
   : mImpl(std::make_unique<Impl>(aSettings))
@@ -120,19 +808,20 @@
 void
 Dispatcher::SetSnapshot(config::SnapshotPtr aSnapshot, TimePoint aNow)
 {
-  mImpl->mSnapshot = std::move(aSnapshot);
-  mImpl->mInFlight.resize(mImpl->mSnapshot->mUpstreams.size());
-  mImpl->mQueues.resize(mImpl->mSnapshot->mServices.size());
+  mImpl->SetSnapshot(std::move(aSnapshot), aNow);
 }
 
 void
-Dispatcher::SetBalancers(std::vector<uint64_t> aIncarnations, uint64_t aOwn)
+Dispatcher::SetBalancers(const std::vector<uint64_t>& aIncarnations,
+                         uint64_t aOwn)
 {
+  mImpl->mTable.SetBalancers(aIncarnations, aOwn);
 }
 
 void
 Dispatcher::OnReport(const LoadReport& aReport, TimePoint aNow)
 {
+  mImpl->mTable.OnReport(aReport, aNow);
 }
 
 void
@@ -140,38 +829,31 @@
                         const std::vector<LoadReport>& aLoads,
                         TimePoint aNow)
 {
+  mImpl->mTable.OnPeerLoads(aIncarnation, aLoads, aNow);
 }
 
 void
 Dispatcher::OnPeerGone(uint64_t aIncarnation)
 {
+  mImpl->mTable.OnPeerGone(aIncarnation);
 }
 
 std::vector<LoadReport>
 Dispatcher::LocalLoads(TimePoint aNow) const
 {
-  return {};
+  return mImpl->LocalLoads(aNow);
 }
 
 uint64_t
 Dispatcher::LoadsRevision() const
 {
-  return 0;
+  return mImpl->mLoadsRevision;
 }
 
 void
 Dispatcher::Submit(const Work& aWork, TimePoint aNow, WorkActions& aActions)
 {
-  if (aWork.mDeadline <= aNow) {
-    mImpl->Refuse(aWork.mSerial, RefusalReason::DeadlinePassed, aActions);
-    return;
-  }
-  Job& job = mImpl->mJobs[aWork.mSerial];
-  job.mWork = aWork;
-  mImpl->mDeadlines.insert({ aWork.mDeadline, aWork.mSerial });
-  if (!mImpl->TrySend(job, aActions)) {
-    mImpl->mQueues[aWork.mService].push_back(aWork.mSerial);
-  }
+  mImpl->Submit(aWork, aNow, aActions);
 }
 
 bool
@@ -180,70 +862,38 @@
                    TimePoint aNow,
                    WorkActions& aActions)
 {
-  const auto it = mImpl->mJobs.find(aSerial);
-  if (it == mImpl->mJobs.end() || it->second.mUpstream == config::kNoIndex) {
-    return false;
-  }
-  if (aOutcome == Outcome::Shed) {
-    mImpl->Refuse(aSerial, RefusalReason::ShedEverywhere, aActions);
-  }
-  mImpl->Release(aSerial, aActions);
-  return false;
+  return mImpl->Finish(aSerial, aOutcome, aNow, aActions);
 }
 
 void
 Dispatcher::Cancel(uint32_t aSerial, TimePoint aNow, WorkActions& aActions)
 {
-  const auto it = mImpl->mJobs.find(aSerial);
-  if (it == mImpl->mJobs.end()) {
-    return;
-  }
-  if (it->second.mUpstream == config::kNoIndex) {
-    mImpl->Dequeue(it->second);
-    mImpl->Forget(aSerial);
-    return;
-  }
-  aActions.push_back(ExpireWork{ aSerial, it->second.mUpstream });
-  mImpl->Release(aSerial, aActions);
+  mImpl->Cancel(aSerial, aNow, aActions);
 }
 
 void
 Dispatcher::Tick(TimePoint aNow, WorkActions& aActions)
 {
-  while (!mImpl->mDeadlines.empty() &&
-         mImpl->mDeadlines.begin()->first <= aNow) {
-    const uint32_t serial = mImpl->mDeadlines.begin()->second;
-    const Job& job = mImpl->mJobs.at(serial);
-    if (job.mUpstream == config::kNoIndex) {
-      mImpl->Dequeue(job);
-      mImpl->Forget(serial);
-      mImpl->Refuse(serial, RefusalReason::DeadlinePassed, aActions);
-      continue;
-    }
-    aActions.push_back(ExpireWork{ serial, job.mUpstream });
-    mImpl->Release(serial, aActions);
-  }
+  mImpl->Tick(aNow, aActions);
 }
 
 std::optional<TimePoint>
 Dispatcher::NextTick() const
 {
-  if (mImpl->mDeadlines.empty()) {
-    return std::nullopt;
-  }
-  return mImpl->mDeadlines.begin()->first;
+  return mImpl->NextTick();
 }
 
 uint32_t
 Dispatcher::InFlight(config::UpstreamIndex aUpstream) const
 {
-  return mImpl->mInFlight[aUpstream];
+  return mImpl->mTable.State(aUpstream).mOwn;
 }
 
 uint32_t
 Dispatcher::Queued(config::ServiceIndex aService) const
 {
-  return static_cast<uint32_t>(mImpl->mQueues[aService].size());
+  const ServiceQueue& queue = mImpl->mQueues[aService];
+  return static_cast<uint32_t>(queue.mWaiting.size()) + queue.mBound;
 }
 
 uint64_t
--- /dev/null
+++ b/src/routing/ReportFilter.cpp
@@ -0,0 +1,42 @@
+#include "foxtail/routing/ReportFilter.h"
+
+#include <algorithm>
+
+namespace foxtail::routing {
+
+void
+ReportFilter::OnReport(uint32_t aInFlight, TimePoint aTaken)
+{
+  if (mContradicted) {
+    mContradictions = std::min(mContradictions + 1, 2 * kMaxContradictions);
+  } else if (mContradictions > 0) {
+    --mContradictions;
+  }
+  mContradicted = false;
+  mInFlight = aInFlight;
+  mTaken = aTaken;
+}
+
+void
+ReportFilter::OnPromptAnswer(uint32_t aSlots, TimePoint aSent)
+{
+  // All slots taken, and yet it started at once.
+  const bool sentInReport = aSent >= mTaken && aSent < mTaken + kMaxAge / 10;
+  if (sentInReport && mInFlight > aSlots) {
+    mContradicted = true;
+  }
+}
+
+uint32_t
+ReportFilter::InFlight(TimePoint aNow) const
+{
+  const Duration age = aNow - mTaken;
+  if (!IsTrusted() || age >= kMaxAge) {
+    return 0;
+  }
+  const double weight = 1.0 - std::chrono::duration<double>(age) /
+                                std::chrono::duration<double>(kMaxAge);
+  return static_cast<uint32_t>(mInFlight * weight);
+}
+
+} // namespace foxtail::routing
--- /dev/null
+++ b/src/routing/ServiceTimes.cpp
@@ -0,0 +1,31 @@
+#include "foxtail/routing/ServiceTimes.h"
+
+#include <algorithm>
+
+namespace foxtail::routing {
+
+namespace {
+
+// The median moves by this part of itself with each answer.
+constexpr int kMedianStep = 50;
+// Weight of one answer in the mean.
+constexpr int kMeanWeight = 500;
+
+} // namespace
+
+void
+ServiceTimes::OnAnswer(Duration aTook)
+{
+  const Duration step = mMedian / kMedianStep;
+  mMedian += aTook > mMedian ? step : -step;
+  mMedian = std::max<Duration>(mMedian, microseconds(1));
+  mMean += (aTook - mMean) / kMeanWeight;
+}
+
+Duration
+ServiceTimes::LongAge() const
+{
+  return std::max<Duration>(kLongFactor * mMedian, kMinLong);
+}
+
+} // namespace foxtail::routing
--- /dev/null
+++ b/src/routing/SlotShare.cpp
@@ -0,0 +1,64 @@
+#include "foxtail/routing/SlotShare.h"
+
+#include <algorithm>
+
+#include "foxtail/core/Hash.h"
+
+namespace foxtail::routing {
+
+void
+SlotShare::SetBalancers(std::vector<uint64_t> aIncarnations, uint64_t aOwn)
+{
+  aIncarnations.push_back(aOwn);
+  std::sort(aIncarnations.begin(), aIncarnations.end());
+  aIncarnations.erase(std::unique(aIncarnations.begin(), aIncarnations.end()),
+                      aIncarnations.end());
+  const auto own =
+    std::lower_bound(aIncarnations.begin(), aIncarnations.end(), aOwn);
+  mCount = static_cast<uint32_t>(aIncarnations.size());
+  mRank = static_cast<uint32_t>(own - aIncarnations.begin());
+}
+
+void
+SlotShare::SetSnapshot(const config::Snapshot& aSnapshot)
+{
+  mHome.assign(aSnapshot.mUpstreams.size(), 0);
+  for (const config::Service& it : aSnapshot.mServices) {
+    Assign(aSnapshot, it);
+  }
+}
+
+uint32_t
+SlotShare::Part(uint32_t aAmount) const
+{
+  // Rounded so that the parts of all ranks add up to the amount.
+  return (aAmount + mRank) / mCount;
+}
+
+void
+SlotShare::Assign(const config::Snapshot& aSnapshot,
+                  const config::Service& aService)
+{
+  std::vector<config::UpstreamIndex> order = aService.mUpstreams;
+  std::sort(order.begin(),
+            order.end(),
+            [&](config::UpstreamIndex a, config::UpstreamIndex b) {
+              return aSnapshot.mUpstreams[a].mId < aSnapshot.mUpstreams[b].mId;
+            });
+  // Services start at different balancers, so that small ones spread.
+  uint32_t next = static_cast<uint32_t>(StableHash(aService.mName) % mCount);
+  bool more = true;
+  for (uint32_t slot = 0; more; ++slot) {
+    more = false;
+    for (const config::UpstreamIndex it : order) {
+      if (slot >= aSnapshot.mUpstreams[it].mSlots) {
+        continue;
+      }
+      more = true;
+      mHome[it] += next == mRank ? 1 : 0;
+      next = (next + 1) % mCount;
+    }
+  }
+}
+
+} // namespace foxtail::routing
--- /dev/null
+++ b/src/routing/UpstreamTable.cpp
@@ -0,0 +1,290 @@
+#include "UpstreamTable.h"
+
+#include <algorithm>
+
+namespace foxtail::routing {
+
+namespace {
+
+// An upstream that sheds is left alone for this long, doubled with each shed
+// that no answer separates from the last.
+constexpr milliseconds kShedBackoff{ 10 };
+constexpr uint32_t kMaxShedDoublings = 6;
+
+} // namespace
+
+void
+UpstreamTable::SetSnapshot(config::SnapshotPtr aSnapshot, TimePoint aNow)
+{
+  const bool first = mSnapshot == nullptr;
+  std::vector<UpstreamState> states(aSnapshot->mUpstreams.size());
+  absl::flat_hash_map<uint32_t, config::UpstreamIndex> indexes;
+  for (config::UpstreamIndex it = 0; it < states.size(); ++it) {
+    const uint32_t id = aSnapshot->mUpstreams[it].mId;
+    indexes[id] = it;
+    const config::UpstreamIndex before = Find(id);
+    if (before != config::kNoIndex) {
+      states[it] = std::move(mStates[before]);
+    } else if (!first) {
+      states[it].mSlowStart.Start(aNow);
+    }
+    states[it].mPeersLong =
+      std::min(mPeers.Held(id), aSnapshot->mUpstreams[it].mSlots);
+  }
+  mSnapshot = std::move(aSnapshot);
+  mStates = std::move(states);
+  mIndexes = std::move(indexes);
+  mShare.SetSnapshot(*mSnapshot);
+  mPools.assign(mSnapshot->mServices.size(), Pool{});
+  for (config::ServiceIndex it = 0; it < mPools.size(); ++it) {
+    RefreshPool(it);
+  }
+}
+
+void
+UpstreamTable::SetBalancers(const std::vector<uint64_t>& aIncarnations,
+                            uint64_t aOwn)
+{
+  mShare.SetBalancers(aIncarnations, aOwn);
+  if (mSnapshot) {
+    mShare.SetSnapshot(*mSnapshot);
+  }
+}
+
+void
+UpstreamTable::OnReport(const LoadReport& aReport, TimePoint aNow)
+{
+  const config::UpstreamIndex index = Find(aReport.mUpstream);
+  if (index == config::kNoIndex) {
+    return;
+  }
+  UpstreamState& state = mStates[index];
+  state.mReports.OnReport(aReport.mInFlight, aReport.mTaken);
+  state.mOutlier.OnReport(aReport.mHealthy, aReport.mTaken);
+  state.mReportedDraining = aReport.mDraining;
+  RefreshPool(mSnapshot->mUpstreams[index].mService);
+}
+
+void
+UpstreamTable::OnPeerLoads(uint64_t aIncarnation,
+                           const std::vector<LoadReport>& aLoads,
+                           TimePoint aNow)
+{
+  RefreshPeers(mPeers.Set(aIncarnation, aLoads, aNow));
+}
+
+void
+UpstreamTable::OnPeerGone(uint64_t aIncarnation)
+{
+  RefreshPeers(mPeers.Remove(aIncarnation));
+}
+
+void
+UpstreamTable::OnSent(config::UpstreamIndex aUpstream, TimePoint aNow)
+{
+  UpstreamState& state = mStates[aUpstream];
+  ++state.mOwn;
+  state.mOutlier.OnSent(aNow);
+  if (state.mCandidate) {
+    ++PoolOfUpstream(aUpstream).mOwn;
+  }
+}
+
+void
+UpstreamTable::OnBecameLong(config::UpstreamIndex aUpstream)
+{
+  UpstreamState& state = mStates[aUpstream];
+  ++state.mOwnLong;
+  if (state.mCandidate) {
+    ++PoolOfUpstream(aUpstream).mOwnLong;
+  }
+}
+
+void
+UpstreamTable::OnEnded(config::UpstreamIndex aUpstream, bool aLong)
+{
+  UpstreamState& state = mStates[aUpstream];
+  const uint32_t ofLong = aLong ? 1 : 0;
+  --state.mOwn;
+  state.mOwnLong -= ofLong;
+  if (state.mCandidate) {
+    Pool& pool = PoolOfUpstream(aUpstream);
+    --pool.mOwn;
+    pool.mOwnLong -= ofLong;
+  }
+}
+
+void
+UpstreamTable::OnAnswer(config::UpstreamIndex aUpstream, TimePoint aNow)
+{
+  UpstreamState& state = mStates[aUpstream];
+  const bool wasUnhealthy = state.mOutlier.IsUnhealthy();
+  state.mSheds = 0;
+  state.mOutlier.OnAnswer(aNow);
+  if (wasUnhealthy) {
+    RefreshPool(mSnapshot->mUpstreams[aUpstream].mService);
+  }
+}
+
+void
+UpstreamTable::OnPromptAnswer(config::UpstreamIndex aUpstream, TimePoint aSent)
+{
+  mStates[aUpstream].mReports.OnPromptAnswer(SlotsOf(aUpstream), aSent);
+}
+
+void
+UpstreamTable::OnShed(config::UpstreamIndex aUpstream, TimePoint aNow)
+{
+  UpstreamState& state = mStates[aUpstream];
+  const uint32_t doublings = std::min(state.mSheds, kMaxShedDoublings);
+  state.mBlockedUntil = aNow + kShedBackoff * (1U << doublings);
+  ++state.mSheds;
+  state.mOutlier.OnAnswer(aNow);
+}
+
+void
+UpstreamTable::OnFailure(config::UpstreamIndex aUpstream)
+{
+  mStates[aUpstream].mOutlier.OnFailure();
+}
+
+bool
+UpstreamTable::Review(TimePoint aNow,
+                      std::vector<config::UpstreamIndex>& aEjected)
+{
+  RefreshPeers(mPeers.Expire(aNow));
+  bool changed = false;
+  for (config::UpstreamIndex it = 0; it < mStates.size(); ++it) {
+    UpstreamState& state = mStates[it];
+    const config::ServiceIndex service = mSnapshot->mUpstreams[it].mService;
+    if (state.mOutlier.TryReturn(aNow)) {
+      state.mSlowStart.Start(aNow);
+      RefreshPool(service);
+      changed = true;
+    } else if (state.mOutlier.ShouldEject(aNow) && MayEject(it)) {
+      state.mOutlier.Eject(aNow);
+      RefreshPool(service);
+      aEjected.push_back(it);
+      changed = true;
+    }
+  }
+  return changed;
+}
+
+config::UpstreamIndex
+UpstreamTable::Find(uint32_t aId) const
+{
+  const auto it = mIndexes.find(aId);
+  return it == mIndexes.end() ? config::kNoIndex : it->second;
+}
+
+int
+UpstreamTable::Room(config::UpstreamIndex aUpstream,
+                    bool aQueueOne,
+                    TimePoint aNow) const
+{
+  const UpstreamState& state = mStates[aUpstream];
+  if (state.mBlockedUntil > aNow || !HasConnection(aUpstream)) {
+    return 0;
+  }
+  const uint32_t slots = state.mSlowStart.Slots(SlotsOf(aUpstream), aNow);
+  const uint32_t reported = state.mReports.InFlight(aNow);
+  const uint32_t unseen = reported - std::min(reported, state.mOwn);
+  const uint32_t others = std::min(std::max(state.mPeersLong, unseen), slots);
+  const bool hasShortSlot = state.mOwnLong + others < slots;
+  const int extra = aQueueOne && hasShortSlot ? 1 : 0;
+  return static_cast<int>(slots) + extra - static_cast<int>(others) -
+         static_cast<int>(state.mOwn);
+}
+
+bool
+UpstreamTable::TakesNewFlows(config::UpstreamIndex aUpstream) const
+{
+  const UpstreamState& state = mStates[aUpstream];
+  return !mSnapshot->mUpstreams[aUpstream].mDraining &&
+         !state.mReportedDraining && !state.mOutlier.IsEjected() &&
+         !state.mOutlier.IsUnhealthy();
+}
+
+bool
+UpstreamTable::MayEject(config::UpstreamIndex aUpstream) const
+{
+  const config::Service& service =
+    mSnapshot->mServices[mSnapshot->mUpstreams[aUpstream].mService];
+  uint32_t live = 0;
+  uint32_t ejected = 0;
+  for (const config::UpstreamIndex it : service.mUpstreams) {
+    const bool draining = mSnapshot->mUpstreams[it].mDraining;
+    live += draining ? 0 : 1;
+    ejected += !draining && mStates[it].mOutlier.IsEjected() ? 1 : 0;
+  }
+  // More than half of a service is never ejected: that many failures point
+  // to the path or to this balancer.
+  return (ejected + 1) * 2 <= live;
+}
+
+Pool&
+UpstreamTable::PoolOfUpstream(config::UpstreamIndex aUpstream)
+{
+  return mPools[mSnapshot->mUpstreams[aUpstream].mService];
+}
+
+void
+UpstreamTable::RefreshPool(config::ServiceIndex aService)
+{
+  const config::Service& service = mSnapshot->mServices[aService];
+  const auto takesNew = [&](config::UpstreamIndex it) {
+    return TakesNewFlows(it);
+  };
+  // Reports and ejections must not empty a service; the configuration may.
+  const bool any =
+    std::any_of(service.mUpstreams.begin(), service.mUpstreams.end(), takesNew);
+  Pool pool;
+  for (const config::UpstreamIndex it : service.mUpstreams) {
+    UpstreamState& state = mStates[it];
+    state.mCandidate =
+      any ? takesNew(it) : !mSnapshot->mUpstreams[it].mDraining;
+    if (state.mCandidate) {
+      pool.mCandidates.push_back(it);
+      pool.mSlots += mSnapshot->mUpstreams[it].mSlots;
+      pool.mOwn += state.mOwn;
+      pool.mOwnLong += state.mOwnLong;
+      pool.mPeersLong += state.mPeersLong;
+    }
+  }
+  mPools[aService] = std::move(pool);
+}
+
+void
+UpstreamTable::RefreshPeers(const PeerLoads::Ids& aIds)
+{
+  for (const uint32_t it : aIds) {
+    const config::UpstreamIndex index = Find(it);
+    if (index == config::kNoIndex) {
+      continue;
+    }
+    UpstreamState& state = mStates[index];
+    const uint32_t before = state.mPeersLong;
+    state.mPeersLong = std::min(mPeers.Held(it), SlotsOf(index));
+    if (state.mCandidate) {
+      Pool& pool = PoolOfUpstream(index);
+      pool.mPeersLong += state.mPeersLong - before;
+    }
+  }
+}
+
+uint32_t
+UpstreamTable::SlotsOf(config::UpstreamIndex aUpstream) const
+{
+  return mSnapshot->mUpstreams[aUpstream].mSlots;
+}
+
+bool
+UpstreamTable::HasConnection(config::UpstreamIndex aUpstream) const
+{
+  const uint32_t all = mSnapshot->mUpstreams[aUpstream].mMaxConnections;
+  const uint32_t own = std::max(1U, all / mShare.Balancers());
+  return all == 0 || mStates[aUpstream].mOwn < own;
+}
+
+} // namespace foxtail::routing
--- /dev/null
+++ b/src/routing/UpstreamTable.h
@@ -0,0 +1,119 @@
+#ifndef foxtail_routing_UpstreamTable_h
+#define foxtail_routing_UpstreamTable_h
+
+#include <deque>
+
+#include <absl/container/flat_hash_map.h>
+
+#include "foxtail/config/Model.h"
+#include "foxtail/routing/OutlierDetector.h"
+#include "foxtail/routing/PeerLoads.h"
+#include "foxtail/routing/ReportFilter.h"
+#include "foxtail/routing/SlotShare.h"
+#include "foxtail/routing/SlowStart.h"
+
+namespace foxtail::routing {
+
+// What the dispatcher knows of one upstream.
+struct UpstreamState
+{
+  // Requests sent by this balancer and not ended, long ones included.
+  uint32_t mOwn = 0;
+  uint32_t mOwnLong = 0;
+  uint32_t mPeersLong = 0;
+  // Takes new flows; only then do its requests count in the pool.
+  bool mCandidate = false;
+  bool mReportedDraining = false;
+  // Shedding: nothing is sent before this time.
+  TimePoint mBlockedUntil;
+  uint32_t mSheds = 0;
+  SlowStart mSlowStart;
+  OutlierDetector mOutlier;
+  ReportFilter mReports;
+  // Requests that wait for this upstream alone, oldest first.
+  std::deque<uint32_t> mBound;
+};
+
+// The candidates of one service, and the sums over them.
+struct Pool
+{
+  // Upstreams that take new flows.
+  std::vector<config::UpstreamIndex> mCandidates;
+  uint32_t mSlots = 0;
+  uint32_t mOwn = 0;
+  uint32_t mOwnLong = 0;
+  uint32_t mPeersLong = 0;
+};
+
+// All upstreams of the accepted configuration: which take new flows, and how
+// many slots of each are believed free. State survives a new configuration by
+// the upstream's id.
+class UpstreamTable
+{
+public:
+  void SetSnapshot(config::SnapshotPtr aSnapshot, TimePoint aNow);
+  void SetBalancers(const std::vector<uint64_t>& aIncarnations, uint64_t aOwn);
+  void OnReport(const LoadReport& aReport, TimePoint aNow);
+  void OnPeerLoads(uint64_t aIncarnation,
+                   const std::vector<LoadReport>& aLoads,
+                   TimePoint aNow);
+  void OnPeerGone(uint64_t aIncarnation);
+
+  void OnSent(config::UpstreamIndex aUpstream, TimePoint aNow);
+  void OnBecameLong(config::UpstreamIndex aUpstream);
+  void OnEnded(config::UpstreamIndex aUpstream, bool aLong);
+  void OnAnswer(config::UpstreamIndex aUpstream, TimePoint aNow);
+  // It answered a request sent at aSent at least as fast as most.
+  void OnPromptAnswer(config::UpstreamIndex aUpstream, TimePoint aSent);
+  // The upstream shed a request: leaves it alone for a while.
+  void OnShed(config::UpstreamIndex aUpstream, TimePoint aNow);
+  void OnFailure(config::UpstreamIndex aUpstream);
+  // Ejects dead upstreams and lets ejected ones return; false when neither
+  // happened. Ejected ones are added to aEjected.
+  bool Review(TimePoint aNow, std::vector<config::UpstreamIndex>& aEjected);
+
+  const config::SnapshotPtr& Snapshot() const { return mSnapshot; }
+  const SlotShare& Share() const { return mShare; }
+  UpstreamState& State(config::UpstreamIndex aIt) { return mStates[aIt]; }
+  const UpstreamState& State(config::UpstreamIndex aIt) const
+  {
+    return mStates[aIt];
+  }
+  const Pool& PoolOf(config::ServiceIndex aService) const
+  {
+    return mPools[aService];
+  }
+  // kNoIndex when the id is unknown.
+  config::UpstreamIndex Find(uint32_t aId) const;
+  bool IsCandidate(config::UpstreamIndex aUpstream) const
+  {
+    return mStates[aUpstream].mCandidate;
+  }
+  // Slots believed free; below zero when more is sent than there are slots.
+  // aQueueOne allows one request to wait at an upstream that has a slot not
+  // held by long work, so that the slot does not idle for a round trip.
+  int Room(config::UpstreamIndex aUpstream,
+           bool aQueueOne,
+           TimePoint aNow) const;
+
+private:
+  bool TakesNewFlows(config::UpstreamIndex aUpstream) const;
+  bool MayEject(config::UpstreamIndex aUpstream) const;
+  Pool& PoolOfUpstream(config::UpstreamIndex aUpstream);
+  void RefreshPool(config::ServiceIndex aService);
+  void RefreshPeers(const PeerLoads::Ids& aIds);
+  uint32_t SlotsOf(config::UpstreamIndex aUpstream) const;
+  // The balancers share the upstream's connections evenly.
+  bool HasConnection(config::UpstreamIndex aUpstream) const;
+
+  config::SnapshotPtr mSnapshot;
+  std::vector<UpstreamState> mStates;
+  std::vector<Pool> mPools;
+  absl::flat_hash_map<uint32_t, config::UpstreamIndex> mIndexes;
+  PeerLoads mPeers;
+  SlotShare mShare;
+};
+
+} // namespace foxtail::routing
+
+#endif
