Share slots out by rank and borrow only what stays idle

Cause of the idle slots at 150%: with the limit on short requests alone, seven balancers chose the same free-looking upstreams, and slots that peers had told of 100 ms before still counted as held. Now each balancer has a fixed share of every service's slots that it uses whatever peers say, and takes others only while the arrival rate says that they idle, or when it holds more long requests than the mean.

--- a/benchmarks/swings/Simulation.h
+++ b/benchmarks/swings/Simulation.h
@@ -36,7 +36,7 @@
 {
   milliseconds mMaxWait{ 250 };
   // Least time between two messages to peers; zero for no messages.
-  milliseconds mTellGap{ 40 };
+  milliseconds mTellGap{ 100 };
   bool mTellOnlyLong = true;
   bool mUseHomeSlots = true;
   Reports mReports;
--- a/include/foxtail/routing/SlotShare.h
+++ b/include/foxtail/routing/SlotShare.h
@@ -26,6 +26,12 @@
   {
     return mHome[aUpstream];
   }
+  // The same with one slot more at each upstream: who may let a request wait
+  // there, so that no slot idles for a round trip.
+  uint32_t HomeWithQueue(config::UpstreamIndex aUpstream) const
+  {
+    return mHomeWithQueue[aUpstream];
+  }
 
 private:
   void Assign(const config::Snapshot& aSnapshot,
@@ -34,6 +40,7 @@
   uint32_t mCount = 1;
   uint32_t mRank = 0;
   std::vector<uint32_t> mHome;
+  std::vector<uint32_t> mHomeWithQueue;
 };
 
 } // namespace foxtail::routing
--- a/src/routing/Admission.cpp
+++ b/src/routing/Admission.cpp
@@ -12,6 +12,9 @@
 // Keeps the expected wait finite when nothing drains.
 constexpr double kMinDrained = 0.01;
 constexpr seconds kMaxExpected{ 60 };
+// Stragglers among those ahead draw a wait out beyond what is expected; the
+// bound is kept with this factor to spare.
+constexpr double kMargin = 1.2;
 
 } // namespace
 
@@ -46,7 +49,8 @@
 bool
 Admission::Admits(size_t aQueued, Duration aRemaining, TimePoint aNow) const
 {
-  return ExpectedWait(aQueued, aNow) <= std::min(mMaxWait, aRemaining);
+  const Seconds wait = ExpectedWait(aQueued, aNow);
+  return wait * kMargin <= std::min(mMaxWait, aRemaining);
 }
 
 double
--- a/src/routing/Dispatcher.cpp
+++ b/src/routing/Dispatcher.cpp
@@ -109,7 +109,7 @@
   bool MaySendBound(config::UpstreamIndex aUpstream,
                     bool aBacklog,
                     TimePoint aNow) const;
-  bool IsBelowLimit(config::ServiceIndex aService, bool aBacklog) const;
+  ChoiceRules Rules(config::ServiceIndex aService, bool aBacklog) const;
   void Send(Job& aJob,
             config::UpstreamIndex aUpstream,
             TimePoint aNow,
@@ -128,17 +128,12 @@
   void MarkLong(TimePoint aNow);
   void Review(TimePoint aNow);
   void Rebind(config::UpstreamIndex aUpstream, TimePoint aNow);
-  void UpdateDemand(config::ServiceIndex aService, TimePoint aNow);
   void Tell(config::UpstreamIndex aUpstream, int aChange);
   void Translate(Job& aJob,
                  const config::Snapshot& aBefore,
                  const std::vector<config::ServiceIndex>& aServices);
   void RebuildQueues(TimePoint aNow);
   uint64_t Random() { return MixHash(mSettings.mSeed, ++mDraws); }
-  ChoiceRules Rules(bool aBacklog) const
-  {
-    return { mSettings.mUseHomeSlots, aBacklog };
-  }
   const config::Snapshot& Current() const { return *mTable.Snapshot(); }
 
   DispatcherSettings mSettings;
@@ -274,12 +269,12 @@
   job.mOrder = ++mOrders;
   mDeadlines.insert({ aWork.mDeadline, aWork.mSerial });
   mQueues[aWork.mService].mRetries.OnRequest();
+  mQueues[aWork.mService].mDemand.OnSubmit(aNow);
   if (IsBound(job)) {
     SubmitBound(job, aNow, aActions);
   } else {
     SubmitUnbound(job, aNow, aActions);
   }
-  UpdateDemand(aWork.mService, aNow);
 }
 
 bool
@@ -324,14 +319,15 @@
     return;
   }
   aJob.mDefault = DefaultUpstream(Current(), work.mService, work.mFlowHash);
-  if (queue.mWaiting.empty() && IsBelowLimit(work.mService, false)) {
-    const config::UpstreamIndex chosen = ChooseUpstream(mTable,
-                                                        work.mService,
-                                                        aJob.mDefault,
-                                                        aJob.mTried,
-                                                        Rules(false),
-                                                        Random(),
-                                                        aNow);
+  if (queue.mWaiting.empty()) {
+    const config::UpstreamIndex chosen =
+      ChooseUpstream(mTable,
+                     work.mService,
+                     aJob.mDefault,
+                     aJob.mTried,
+                     Rules(work.mService, false),
+                     Random(),
+                     aNow);
     if (chosen != config::kNoIndex) {
       Send(aJob, chosen, aNow, aActions);
       return;
@@ -412,8 +408,7 @@
   if (queue.mBound > 0) {
     SendBound(aService, aNow, aActions);
   }
-  while (!queue.mWaiting.empty() && IsBelowLimit(aService, true) &&
-         SendOne(aService, aNow, aActions)) {
+  while (!queue.mWaiting.empty() && SendOne(aService, aNow, aActions)) {
   }
 }
 
@@ -439,25 +434,21 @@
                           WorkActions& aActions)
 {
   ServiceQueue& queue = mQueues[aService];
+  const ChoiceRules rules = Rules(aService, true);
   Job* job = nullptr;
   config::UpstreamIndex chosen = config::kNoIndex;
   // Prefer, among the oldest, one that needs no record of its upstream.
   const size_t depth = std::min(kMatchDepth, queue.mWaiting.size());
   for (size_t n = 0; n < depth && chosen == config::kNoIndex; ++n) {
     job = &mJobs.at(queue.mWaiting[n]);
-    if (IsGoodDefault(mTable, job->mDefault, job->mTried, Rules(true), aNow)) {
+    if (IsGoodDefault(mTable, job->mDefault, job->mTried, rules, aNow)) {
       chosen = job->mDefault;
     }
   }
   if (chosen == config::kNoIndex) {
     job = &mJobs.at(queue.mWaiting.front());
-    chosen = ChooseUpstream(mTable,
-                            aService,
-                            job->mDefault,
-                            job->mTried,
-                            Rules(true),
-                            Random(),
-                            aNow);
+    chosen = ChooseUpstream(
+      mTable, aService, job->mDefault, job->mTried, rules, Random(), aNow);
   }
   if (chosen == config::kNoIndex) {
     return false;
@@ -476,17 +467,23 @@
   const UpstreamState& state = mTable.State(aUpstream);
   // A flow cannot go elsewhere, so each balancer may always run one request.
   const bool none = state.mOwn == 0 && state.mBlockedUntil <= aNow;
-  return none || mTable.Room(aUpstream, aBacklog, aNow) >= 1;
+  return none || mTable.HomeRoom(aUpstream, aBacklog, aNow) >= 1 ||
+         mTable.Room(aUpstream, aNow) >= 1;
 }
 
-bool
-Dispatcher::Impl::IsBelowLimit(config::ServiceIndex aService,
-                               bool aBacklog) const
+ChoiceRules
+Dispatcher::Impl::Rules(config::ServiceIndex aService, bool aBacklog) const
 {
   const Pool& pool = mTable.PoolOf(aService);
-  const double demand = mQueues[aService].mDemand.Average();
-  return pool.mOwn - pool.mOwnLong <
-         ShortLimit(pool, mTable.Share(), demand, aBacklog);
+  const ServiceQueue& queue = mQueues[aService];
+  const double demand = queue.mDemand.InFlight(queue.mTimes.Median(), mNow);
+  ChoiceRules rules;
+  rules.mUseHomeSlots = mSettings.mUseHomeSlots;
+  // Without shares nothing is borrowed.
+  rules.mMayBorrow = !mSettings.mUseHomeSlots ||
+                     pool.mBorrowed < BorrowLimit(pool, mTable.Share(), demand);
+  rules.mBacklog = aBacklog;
+  return rules;
 }
 
 void
@@ -548,7 +545,6 @@
   }
   if (service != config::kNoIndex) {
     SendWaiting(service, aNow, aActions);
-    UpdateDemand(service, aNow);
   }
   return retried;
 }
@@ -683,7 +679,6 @@
                                                      mBacklogged.end());
   for (const config::ServiceIndex it : backlogged) {
     SendWaiting(it, aNow, aActions);
-    UpdateDemand(it, aNow);
   }
 }
 
@@ -762,15 +757,6 @@
   }
 }
 
-void
-Dispatcher::Impl::UpdateDemand(config::ServiceIndex aService, TimePoint aNow)
-{
-  const Pool& pool = mTable.PoolOf(aService);
-  ServiceQueue& queue = mQueues[aService];
-  const size_t wanted = pool.mOwn - pool.mOwnLong + queue.mWaiting.size();
-  queue.mDemand.Update(static_cast<uint32_t>(wanted), aNow);
-}
-
 void
 Dispatcher::Impl::Tell(config::UpstreamIndex aUpstream, int aChange)
 {
--- a/src/routing/ServiceQueue.cpp
+++ b/src/routing/ServiceQueue.cpp
@@ -10,31 +10,42 @@
 // One balancer borrows at most this part of the idle slots at a time.
 constexpr double kBorrowed = 0.5;
 
+using Seconds = std::chrono::duration<double>;
+
 } // namespace
 
 void
-Demand::Update(uint32_t aShort, TimePoint aNow)
+Demand::OnSubmit(TimePoint aNow)
 {
-  using Seconds = std::chrono::duration<double>;
-  const double keep =
-    std::exp(-(Seconds(aNow - mUpdated) / Seconds(kAveraging)));
-  mAverage = mAverage * keep + aShort * (1.0 - keep);
+  mRecent = Recent(aNow) + 1.0;
   mUpdated = aNow;
 }
 
+double
+Demand::InFlight(Duration aTook, TimePoint aNow) const
+{
+  return Recent(aNow) * (Seconds(aTook) / Seconds(kAveraging));
+}
+
+double
+Demand::Recent(TimePoint aNow) const
+{
+  return mRecent * std::exp(-(Seconds(aNow - mUpdated) / Seconds(kAveraging)));
+}
+
 uint32_t
-ShortLimit(const Pool& aPool,
-           const SlotShare& aShare,
-           double aDemand,
-           bool aBacklog)
+BorrowLimit(const Pool& aPool, const SlotShare& aShare, double aDemand)
 {
   const uint32_t held = aPool.mOwnLong + aPool.mPeersLong;
   const uint32_t open = aPool.mSlots - std::min(aPool.mSlots, held);
-  const auto upstreams = static_cast<uint32_t>(aPool.mCandidates.size());
-  const uint32_t extra = aBacklog ? std::min(upstreams, open) : 0;
-  const double idle = open - aShare.Balancers() * aDemand;
-  const auto borrowed = static_cast<uint32_t>(std::max(0.0, idle * kBorrowed));
-  return std::max(1U, aShare.Part(open + extra) + borrowed);
+  // One request on its way to or from each upstream keeps no slot busy.
+  const size_t places = open + aPool.mCandidates.size();
+  const double idle = places - aShare.Balancers() * aDemand;
+  const auto part = static_cast<uint32_t>(std::max(0.0, idle * kBorrowed));
+  // Who has more than the mean of long requests makes up for it.
+  const uint32_t fair = held / aShare.Balancers();
+  const uint32_t excess = aPool.mOwnLong - std::min(aPool.mOwnLong, fair);
+  return std::max({ part, excess, aPool.mOwn == 0 ? 1U : 0U });
 }
 
 } // namespace foxtail::routing
--- a/src/routing/ServiceQueue.h
+++ b/src/routing/ServiceQueue.h
@@ -10,18 +10,22 @@
 
 namespace foxtail::routing {
 
-// The running average of this balancer's short requests, waiting and sent.
-// Flows are spread evenly, so it tells what each peer has as well.
+// The rate at which this balancer is given requests. Flows are spread evenly
+// over the balancers, so it tells what each peer is given as well.
 class Demand
 {
 public:
   static constexpr milliseconds kAveraging{ 100 };
 
-  void Update(uint32_t aShort, TimePoint aNow);
-  double Average() const { return mAverage; }
+  void OnSubmit(TimePoint aNow);
+  // Requests in flight at one time when each takes aTook.
+  double InFlight(Duration aTook, TimePoint aNow) const;
 
 private:
-  double mAverage = 0;
+  double Recent(TimePoint aNow) const;
+
+  // Requests given of late, each fading with kAveraging.
+  double mRecent = 0;
   TimePoint mUpdated;
 };
 
@@ -44,14 +48,12 @@
   Demand mDemand;
 };
 
-// How many short requests this balancer may have at the pool's upstreams: its
-// part of the slots that long work leaves, and a part of those that all
-// balancers together leave idle.
+// How many requests this balancer may have beyond its share of the slots: a
+// part of those that all balancers together leave idle, when each has aDemand
+// short requests in flight. One when it runs
+// nothing at all, since its share may be empty.
 uint32_t
-ShortLimit(const Pool& aPool,
-           const SlotShare& aShare,
-           double aDemand,
-           bool aBacklog);
+BorrowLimit(const Pool& aPool, const SlotShare& aShare, double aDemand);
 
 } // namespace foxtail::routing
 
--- a/src/routing/SlotShare.cpp
+++ b/src/routing/SlotShare.cpp
@@ -23,6 +23,7 @@
 SlotShare::SetSnapshot(const config::Snapshot& aSnapshot)
 {
   mHome.assign(aSnapshot.mUpstreams.size(), 0);
+  mHomeWithQueue.assign(aSnapshot.mUpstreams.size(), 0);
   for (const config::Service& it : aSnapshot.mServices) {
     Assign(aSnapshot, it);
   }
@@ -51,11 +52,14 @@
   for (uint32_t slot = 0; more; ++slot) {
     more = false;
     for (const config::UpstreamIndex it : order) {
-      if (slot >= aSnapshot.mUpstreams[it].mSlots) {
+      const uint32_t slots = aSnapshot.mUpstreams[it].mSlots;
+      if (slot > slots) {
         continue;
       }
       more = true;
-      mHome[it] += next == mRank ? 1 : 0;
+      const uint32_t own = next == mRank ? 1 : 0;
+      mHome[it] += slot < slots ? own : 0;
+      mHomeWithQueue[it] += own;
       next = (next + 1) % mCount;
     }
   }
--- a/src/routing/UpstreamChoice.cpp
+++ b/src/routing/UpstreamChoice.cpp
@@ -6,11 +6,8 @@
 
 namespace {
 
-// A free slot of the own share outweighs this many others, which peers may
-// have taken since.
+// A free slot of the own share outweighs this many others.
 constexpr int kHomeWeight = 2;
-// Room from which on a collision with a peer's choice is unlikely.
-constexpr int kSafeRoom = 2;
 
 bool
 WasTried(const Tried& aTried, config::UpstreamIndex aUpstream)
@@ -18,15 +15,26 @@
   return std::find(aTried.begin(), aTried.end(), aUpstream) != aTried.end();
 }
 
-bool
-HasHomeSlot(const UpstreamTable& aTable, config::UpstreamIndex aUpstream)
+} // namespace
+
+int
+RankUpstream(const UpstreamTable& aTable,
+             config::UpstreamIndex aUpstream,
+             const Tried& aTried,
+             const ChoiceRules& aRules,
+             TimePoint aNow)
 {
-  const UpstreamState& state = aTable.State(aUpstream);
-  return state.mOwn < aTable.Share().Home(aUpstream);
+  if (WasTried(aTried, aUpstream)) {
+    return 0;
+  }
+  const int room = aTable.Room(aUpstream, aNow);
+  if (aRules.mUseHomeSlots &&
+      aTable.HomeRoom(aUpstream, aRules.mBacklog, aNow) >= 1) {
+    return kHomeWeight + std::max(room, 0);
+  }
+  return aRules.mMayBorrow ? std::max(room, 0) : 0;
 }
 
-} // namespace
-
 bool
 IsGoodDefault(const UpstreamTable& aTable,
               config::UpstreamIndex aDefault,
@@ -34,13 +42,8 @@
               const ChoiceRules& aRules,
               TimePoint aNow)
 {
-  if (aDefault == config::kNoIndex || !aTable.IsCandidate(aDefault) ||
-      WasTried(aTried, aDefault)) {
-    return false;
-  }
-  const int room = aTable.Room(aDefault, aRules.mQueueOne, aNow);
-  const bool home = aRules.mUseHomeSlots && HasHomeSlot(aTable, aDefault);
-  return room >= kSafeRoom || (room >= 1 && home);
+  return aDefault != config::kNoIndex && aTable.IsCandidate(aDefault) &&
+         RankUpstream(aTable, aDefault, aTried, aRules, aNow) >= 1;
 }
 
 config::UpstreamIndex
@@ -60,14 +63,9 @@
   int bestScore = 0;
   for (size_t n = 0; n < candidates.size(); ++n) {
     const auto it = candidates[(aRandom + n) % candidates.size()];
-    const int room = aTable.Room(it, aRules.mQueueOne, aNow);
-    if (room < 1 || WasTried(aTried, it)) {
-      continue;
-    }
-    const bool home = aRules.mUseHomeSlots && HasHomeSlot(aTable, it);
+    const int rank = RankUpstream(aTable, it, aTried, aRules, aNow);
     // The default one wins ties, the first one otherwise.
-    const int score =
-      2 * (room + (home ? kHomeWeight : 0)) + (it == aDefault ? 1 : 0);
+    const int score = rank == 0 ? 0 : 2 * rank + (it == aDefault ? 1 : 0);
     if (score > bestScore) {
       best = it;
       bestScore = score;
--- a/src/routing/UpstreamChoice.h
+++ b/src/routing/UpstreamChoice.h
@@ -14,13 +14,25 @@
 struct ChoiceRules
 {
   bool mUseHomeSlots = true;
-  // Requests wait here: a slot's round trip may be filled, see
-  // UpstreamTable::Room.
-  bool mQueueOne = false;
+  // More requests may be sent than this balancer's share of the slots.
+  bool mMayBorrow = true;
+  // Requests wait here: those that share an upstream's extra place may let a
+  // request wait there, see SlotShare::HomeWithQueue.
+  bool mBacklog = false;
 };
 
-// True when the flow's default upstream is about as good as any: a slot of
-// this balancer's share is believed free there, or more than one slot is.
+// Ranks the upstream as the place of a new request; zero when no slot of it
+// is believed free. A slot of this balancer's own share ranks before more
+// room, since peers may have taken the other slots meanwhile.
+int
+RankUpstream(const UpstreamTable& aTable,
+             config::UpstreamIndex aUpstream,
+             const Tried& aTried,
+             const ChoiceRules& aRules,
+             TimePoint aNow);
+
+// True when a slot of the flow's default upstream is believed free. More room
+// elsewhere does not outweigh the record that a deviating flow costs.
 bool
 IsGoodDefault(const UpstreamTable& aTable,
               config::UpstreamIndex aDefault,
@@ -28,8 +40,8 @@
               const ChoiceRules& aRules,
               TimePoint aNow);
 
-// The candidate most likely to have a free slot, the default one when it is
-// as good; ties are broken by aRandom. kNoIndex when none is believed free.
+// The candidate of the highest rank, the default one when it is as good; ties
+// are broken by aRandom. kNoIndex when none is believed free.
 config::UpstreamIndex
 ChooseUpstream(const UpstreamTable& aTable,
                config::ServiceIndex aService,
--- a/src/routing/UpstreamTable.cpp
+++ b/src/routing/UpstreamTable.cpp
@@ -48,6 +48,9 @@
   mShare.SetBalancers(aIncarnations, aOwn);
   if (mSnapshot) {
     mShare.SetSnapshot(*mSnapshot);
+    for (config::ServiceIndex it = 0; it < mPools.size(); ++it) {
+      RefreshPool(it);
+    }
   }
 }
 
@@ -83,10 +86,13 @@
 UpstreamTable::OnSent(config::UpstreamIndex aUpstream, TimePoint aNow)
 {
   UpstreamState& state = mStates[aUpstream];
+  const uint32_t borrowed = Borrowed(aUpstream);
   ++state.mOwn;
   state.mOutlier.OnSent(aNow);
   if (state.mCandidate) {
-    ++PoolOfUpstream(aUpstream).mOwn;
+    Pool& pool = PoolOfUpstream(aUpstream);
+    ++pool.mOwn;
+    pool.mBorrowed += Borrowed(aUpstream) - borrowed;
   }
 }
 
@@ -105,12 +111,14 @@
 {
   UpstreamState& state = mStates[aUpstream];
   const uint32_t ofLong = aLong ? 1 : 0;
+  const uint32_t borrowed = Borrowed(aUpstream);
   --state.mOwn;
   state.mOwnLong -= ofLong;
   if (state.mCandidate) {
     Pool& pool = PoolOfUpstream(aUpstream);
     --pool.mOwn;
     pool.mOwnLong -= ofLong;
+    pool.mBorrowed -= borrowed - Borrowed(aUpstream);
   }
 }
 
@@ -179,22 +187,49 @@
 }
 
 int
-UpstreamTable::Room(config::UpstreamIndex aUpstream,
-                    bool aQueueOne,
-                    TimePoint aNow) const
+UpstreamTable::Room(config::UpstreamIndex aUpstream, TimePoint aNow) const
 {
-  const UpstreamState& state = mStates[aUpstream];
-  if (state.mBlockedUntil > aNow || !HasConnection(aUpstream)) {
+  if (!MaySend(aUpstream, aNow)) {
     return 0;
   }
+  const UpstreamState& state = mStates[aUpstream];
   const uint32_t slots = state.mSlowStart.Slots(SlotsOf(aUpstream), aNow);
+  const uint32_t others = std::min(Others(aUpstream, aNow), slots);
+  return static_cast<int>(slots) - static_cast<int>(others) -
+         static_cast<int>(state.mOwn);
+}
+
+int
+UpstreamTable::HomeRoom(config::UpstreamIndex aUpstream,
+                        bool aQueueOne,
+                        TimePoint aNow) const
+{
+  if (!MaySend(aUpstream, aNow)) {
+    return 0;
+  }
+  const UpstreamState& state = mStates[aUpstream];
+  const uint32_t slots = SlotsOf(aUpstream);
+  const bool queueOne = aQueueOne && state.mOwnLong < slots;
+  const uint32_t home =
+    queueOne ? mShare.HomeWithQueue(aUpstream) : mShare.Home(aUpstream);
+  const uint32_t started = state.mSlowStart.Slots(slots, aNow);
+  return static_cast<int>(std::min(home, started)) -
+         static_cast<int>(state.mOwn);
+}
+
+bool
+UpstreamTable::MaySend(config::UpstreamIndex aUpstream, TimePoint aNow) const
+{
+  return mStates[aUpstream].mBlockedUntil <= aNow && HasConnection(aUpstream);
+}
+
+uint32_t
+UpstreamTable::Others(config::UpstreamIndex aUpstream, TimePoint aNow) const
+{
+  const UpstreamState& state = mStates[aUpstream];
   const uint32_t reported = state.mReports.InFlight(aNow);
   const uint32_t unseen = reported - std::min(reported, state.mOwn);
-  const uint32_t others = std::min(std::max(state.mPeersLong, unseen), slots);
-  const bool hasShortSlot = state.mOwnLong + others < slots;
-  const int extra = aQueueOne && hasShortSlot ? 1 : 0;
-  return static_cast<int>(slots) + extra - static_cast<int>(others) -
-         static_cast<int>(state.mOwn);
+  return std::max(state.mPeersLong, unseen);
 }
 
 bool
@@ -223,6 +258,13 @@
   return (ejected + 1) * 2 <= live;
 }
 
+uint32_t
+UpstreamTable::Borrowed(config::UpstreamIndex aUpstream) const
+{
+  const uint32_t own = mStates[aUpstream].mOwn;
+  return own - std::min(own, mShare.Home(aUpstream));
+}
+
 Pool&
 UpstreamTable::PoolOfUpstream(config::UpstreamIndex aUpstream)
 {
@@ -250,6 +292,7 @@
       pool.mOwn += state.mOwn;
       pool.mOwnLong += state.mOwnLong;
       pool.mPeersLong += state.mPeersLong;
+      pool.mBorrowed += Borrowed(it);
     }
   }
   mPools[aService] = std::move(pool);
--- a/src/routing/UpstreamTable.h
+++ b/src/routing/UpstreamTable.h
@@ -43,6 +43,8 @@
   uint32_t mOwn = 0;
   uint32_t mOwnLong = 0;
   uint32_t mPeersLong = 0;
+  // Requests at upstreams beyond this balancer's share of their slots.
+  uint32_t mBorrowed = 0;
 };
 
 // All upstreams of the accepted configuration: which take new flows, and how
@@ -89,16 +91,24 @@
   {
     return mStates[aUpstream].mCandidate;
   }
-  // Slots believed free; below zero when more is sent than there are slots.
-  // aQueueOne allows one request to wait at an upstream that has a slot not
-  // held by long work, so that the slot does not idle for a round trip.
-  int Room(config::UpstreamIndex aUpstream,
-           bool aQueueOne,
-           TimePoint aNow) const;
+  // Slots believed free, whoever they are shared out to; below zero when more
+  // is sent than there are slots.
+  int Room(config::UpstreamIndex aUpstream, TimePoint aNow) const;
+  // Slots of this balancer's own share that it does not use. What peers say
+  // is not asked here: it lags, and they take these slots only while others
+  // idle. aQueueOne adds the places of SlotShare::HomeWithQueue while the
+  // upstream has a slot that the own long work leaves.
+  int HomeRoom(config::UpstreamIndex aUpstream,
+               bool aQueueOne,
+               TimePoint aNow) const;
 
 private:
   bool TakesNewFlows(config::UpstreamIndex aUpstream) const;
   bool MayEject(config::UpstreamIndex aUpstream) const;
+  bool MaySend(config::UpstreamIndex aUpstream, TimePoint aNow) const;
+  // Slots held by requests of peers.
+  uint32_t Others(config::UpstreamIndex aUpstream, TimePoint aNow) const;
+  uint32_t Borrowed(config::UpstreamIndex aUpstream) const;
   Pool& PoolOfUpstream(config::UpstreamIndex aUpstream);
   void RefreshPool(config::ServiceIndex aService);
   void RefreshPeers(const PeerLoads::Ids& aIds);
