Prove the dispatcher's invariants against a naive one

The random script (40 seeds of 3,000 events) found three faults that the tables had not: an upstream that was removed and came back while requests ran there was counted empty, so it was sent more than its connections; a waiting request of a removed service ended twice when its caller gave it up before the next Tick; and a request was sent in the moment in which its deadline passed. Each is mended; requests now keep the upstream's id over configurations. The naive dispatcher of the test breaks five of the seven checks.

--- a/include/foxtail/routing/Dispatcher.h
+++ b/include/foxtail/routing/Dispatcher.h
@@ -61,7 +61,7 @@
                    TimePoint aNow);
 
   // Forgets a peer that left or died.
-  void OnPeerGone(uint64_t aIncarnation);
+  void OnPeerGone(uint64_t aIncarnation, TimePoint aNow);
 
   // What peers need to know of this balancer's requests. Upstreams that are
   // absent have none.
--- a/src/routing/Dispatcher.cpp
+++ b/src/routing/Dispatcher.cpp
@@ -40,8 +40,10 @@
   JobState mState = JobState::Waiting;
   // Orders the waiting by submission, over all services.
   uint64_t mOrder = 0;
-  // Where it was sent; kNoIndex once that upstream has been removed.
+  // Where it was sent; kNoIndex while that upstream is not configured.
   config::UpstreamIndex mUpstream = config::kNoIndex;
+  // Upstream::mId of the same, which outlives the configuration.
+  uint32_t mUpstreamId = 0;
   config::UpstreamIndex mDefault = config::kNoIndex;
   TimePoint mSent;
   bool mLong = false;
@@ -132,6 +134,7 @@
   void Translate(Job& aJob,
                  const config::Snapshot& aBefore,
                  const std::vector<config::ServiceIndex>& aServices);
+  void Restore(Job& aJob, TimePoint aNow);
   void RebuildQueues(TimePoint aNow);
   uint64_t Random() { return MixHash(mSettings.mSeed, ++mDraws); }
   const config::Snapshot& Current() const { return *mTable.Snapshot(); }
@@ -182,6 +185,9 @@
   mTold.clear();
   for (auto& [serial, job] : mJobs) {
     Translate(job, *before, moved);
+    if (job.mState == JobState::Sent) {
+      Restore(job, aNow);
+    }
   }
   ++mLoadsRevision;
   RebuildQueues(aNow);
@@ -201,15 +207,25 @@
     work.mService = aServices[work.mService];
   }
   work.mBound = translate(work.mBound);
-  aJob.mUpstream = translate(aJob.mUpstream);
   for (config::UpstreamIndex& it : aJob.mTried) {
     it = translate(it);
   }
   aJob.mDefault = work.mService == config::kNoIndex
                     ? config::kNoIndex
                     : DefaultUpstream(Current(), work.mService, work.mFlowHash);
-  const bool told = aJob.mLong || !mSettings.mTellOnlyLong;
-  if (aJob.mUpstream != config::kNoIndex && told) {
+}
+
+void
+Dispatcher::Impl::Restore(Job& aJob, TimePoint aNow)
+{
+  // An upstream may return while requests still run there.
+  aJob.mUpstream = mTable.Find(aJob.mUpstreamId);
+  if (aJob.mUpstream == config::kNoIndex) {
+    return;
+  }
+  aJob.mWork.mService = Current().mUpstreams[aJob.mUpstream].mService;
+  mTable.Restore(aJob.mUpstream, aJob.mLong, aNow);
+  if (aJob.mLong || !mSettings.mTellOnlyLong) {
     ++mTold[aJob.mUpstream];
   }
 }
@@ -404,6 +420,8 @@
                               TimePoint aNow,
                               WorkActions& aActions)
 {
+  // Nothing is sent past its deadline, even when this call precedes the Tick.
+  ExpireDue(aNow, aActions);
   const ServiceQueue& queue = mQueues[aService];
   if (queue.mBound > 0) {
     SendBound(aService, aNow, aActions);
@@ -495,6 +513,7 @@
   const uint32_t serial = aJob.mWork.mSerial;
   aJob.mState = JobState::Sent;
   aJob.mUpstream = aUpstream;
+  aJob.mUpstreamId = Current().mUpstreams[aUpstream].mId;
   aJob.mSent = aNow;
   aJob.mLong = false;
   mTable.OnSent(aUpstream, aNow);
@@ -622,6 +641,9 @@
   mNow = aNow;
   const auto it = mJobs.find(aSerial);
   if (it == mJobs.end()) {
+    const auto isThis = [&](const Work& a) { return a.mSerial == aSerial; };
+    mHomeless.erase(std::remove_if(mHomeless.begin(), mHomeless.end(), isThis),
+                    mHomeless.end());
     return;
   }
   Job& job = it->second;
@@ -654,9 +676,6 @@
     mTable.OnFailure(aJob.mUpstream);
   }
   Forget(aJob);
-  if (work.mService != config::kNoIndex) {
-    SendWaiting(work.mService, aNow, aActions);
-  }
 }
 
 // Housekeeping.
@@ -726,7 +745,7 @@
     if (job.mUpstream == config::kNoIndex) {
       continue;
     }
-    mTable.OnBecameLong(job.mUpstream);
+    mTable.OnBecameLong(job.mUpstream, aNow);
     if (mSettings.mTellOnlyLong) {
       Tell(job.mUpstream, 1);
     }
@@ -819,9 +838,9 @@
 }
 
 void
-Dispatcher::OnPeerGone(uint64_t aIncarnation)
+Dispatcher::OnPeerGone(uint64_t aIncarnation, TimePoint aNow)
 {
-  mImpl->mTable.OnPeerGone(aIncarnation);
+  mImpl->mTable.OnPeerGone(aIncarnation, aNow);
 }
 
 std::vector<LoadReport>
--- a/src/routing/UpstreamTable.cpp
+++ b/src/routing/UpstreamTable.cpp
@@ -10,6 +10,8 @@
 // that no answer separates from the last.
 constexpr milliseconds kShedBackoff{ 10 };
 constexpr uint32_t kMaxShedDoublings = 6;
+// Slots that long work has held for this long are not expected back soon.
+constexpr milliseconds kFullAge{ 500 };
 
 } // namespace
 
@@ -28,6 +30,8 @@
     } else if (!first) {
       states[it].mSlowStart.Start(aNow);
     }
+    states[it].mOwn = 0;
+    states[it].mOwnLong = 0;
     states[it].mPeersLong =
       std::min(mPeers.Held(id), aSnapshot->mUpstreams[it].mSlots);
   }
@@ -41,6 +45,17 @@
   }
 }
 
+void
+UpstreamTable::Restore(config::UpstreamIndex aUpstream,
+                       bool aLong,
+                       TimePoint aNow)
+{
+  OnSent(aUpstream, aNow);
+  if (aLong) {
+    OnBecameLong(aUpstream, aNow);
+  }
+}
+
 void
 UpstreamTable::SetBalancers(const std::vector<uint64_t>& aIncarnations,
                             uint64_t aOwn)
@@ -73,13 +88,13 @@
                            const std::vector<LoadReport>& aLoads,
                            TimePoint aNow)
 {
-  RefreshPeers(mPeers.Set(aIncarnation, aLoads, aNow));
+  RefreshPeers(mPeers.Set(aIncarnation, aLoads, aNow), aNow);
 }
 
 void
-UpstreamTable::OnPeerGone(uint64_t aIncarnation)
+UpstreamTable::OnPeerGone(uint64_t aIncarnation, TimePoint aNow)
 {
-  RefreshPeers(mPeers.Remove(aIncarnation));
+  RefreshPeers(mPeers.Remove(aIncarnation), aNow);
 }
 
 void
@@ -97,10 +112,11 @@
 }
 
 void
-UpstreamTable::OnBecameLong(config::UpstreamIndex aUpstream)
+UpstreamTable::OnBecameLong(config::UpstreamIndex aUpstream, TimePoint aNow)
 {
   UpstreamState& state = mStates[aUpstream];
   ++state.mOwnLong;
+  RefreshFull(aUpstream, aNow);
   if (state.mCandidate) {
     ++PoolOfUpstream(aUpstream).mOwnLong;
   }
@@ -114,6 +130,9 @@
   const uint32_t borrowed = Borrowed(aUpstream);
   --state.mOwn;
   state.mOwnLong -= ofLong;
+  if (state.mOwnLong + state.mPeersLong < SlotsOf(aUpstream)) {
+    state.mFullSince.reset();
+  }
   if (state.mCandidate) {
     Pool& pool = PoolOfUpstream(aUpstream);
     --pool.mOwn;
@@ -160,7 +179,7 @@
 UpstreamTable::Review(TimePoint aNow,
                       std::vector<config::UpstreamIndex>& aEjected)
 {
-  RefreshPeers(mPeers.Expire(aNow));
+  RefreshPeers(mPeers.Expire(aNow), aNow);
   bool changed = false;
   for (config::UpstreamIndex it = 0; it < mStates.size(); ++it) {
     UpstreamState& state = mStates[it];
@@ -208,11 +227,15 @@
     return 0;
   }
   const UpstreamState& state = mStates[aUpstream];
+  if (state.mFullSince && aNow - *state.mFullSince >= kFullAge) {
+    return 0;
+  }
   const uint32_t slots = SlotsOf(aUpstream);
   const bool queueOne = aQueueOne && state.mOwnLong < slots;
   const uint32_t home =
     queueOne ? mShare.HomeWithQueue(aUpstream) : mShare.Home(aUpstream);
-  const uint32_t started = state.mSlowStart.Slots(slots, aNow);
+  const uint32_t started =
+    state.mSlowStart.Slots(slots, aNow) + (queueOne ? 1 : 0);
   return static_cast<int>(std::min(home, started)) -
          static_cast<int>(state.mOwn);
 }
@@ -299,7 +322,7 @@
 }
 
 void
-UpstreamTable::RefreshPeers(const PeerLoads::Ids& aIds)
+UpstreamTable::RefreshPeers(const PeerLoads::Ids& aIds, TimePoint aNow)
 {
   for (const uint32_t it : aIds) {
     const config::UpstreamIndex index = Find(it);
@@ -309,6 +332,7 @@
     UpstreamState& state = mStates[index];
     const uint32_t before = state.mPeersLong;
     state.mPeersLong = std::min(mPeers.Held(it), SlotsOf(index));
+    RefreshFull(index, aNow);
     if (state.mCandidate) {
       Pool& pool = PoolOfUpstream(index);
       pool.mPeersLong += state.mPeersLong - before;
@@ -316,6 +340,17 @@
   }
 }
 
+void
+UpstreamTable::RefreshFull(config::UpstreamIndex aUpstream, TimePoint aNow)
+{
+  UpstreamState& state = mStates[aUpstream];
+  if (state.mOwnLong + state.mPeersLong < SlotsOf(aUpstream)) {
+    state.mFullSince.reset();
+  } else if (!state.mFullSince) {
+    state.mFullSince = aNow;
+  }
+}
+
 uint32_t
 UpstreamTable::SlotsOf(config::UpstreamIndex aUpstream) const
 {
--- a/src/routing/UpstreamTable.h
+++ b/src/routing/UpstreamTable.h
@@ -2,6 +2,7 @@
 #define foxtail_routing_UpstreamTable_h
 
 #include <deque>
+#include <optional>
 
 #include <absl/container/flat_hash_map.h>
 
@@ -21,6 +22,8 @@
   uint32_t mOwn = 0;
   uint32_t mOwnLong = 0;
   uint32_t mPeersLong = 0;
+  // Since when long work, of whomever, holds every slot.
+  std::optional<TimePoint> mFullSince;
   // Takes new flows; only then do its requests count in the pool.
   bool mCandidate = false;
   bool mReportedDraining = false;
@@ -53,16 +56,19 @@
 class UpstreamTable
 {
 public:
+  // Afterwards nothing counts as in flight until it is restored.
   void SetSnapshot(config::SnapshotPtr aSnapshot, TimePoint aNow);
+  // Counts a request that was sent under an earlier configuration.
+  void Restore(config::UpstreamIndex aUpstream, bool aLong, TimePoint aNow);
   void SetBalancers(const std::vector<uint64_t>& aIncarnations, uint64_t aOwn);
   void OnReport(const LoadReport& aReport, TimePoint aNow);
   void OnPeerLoads(uint64_t aIncarnation,
                    const std::vector<LoadReport>& aLoads,
                    TimePoint aNow);
-  void OnPeerGone(uint64_t aIncarnation);
+  void OnPeerGone(uint64_t aIncarnation, TimePoint aNow);
 
   void OnSent(config::UpstreamIndex aUpstream, TimePoint aNow);
-  void OnBecameLong(config::UpstreamIndex aUpstream);
+  void OnBecameLong(config::UpstreamIndex aUpstream, TimePoint aNow);
   void OnEnded(config::UpstreamIndex aUpstream, bool aLong);
   void OnAnswer(config::UpstreamIndex aUpstream, TimePoint aNow);
   // It answered a request sent at aSent at least as fast as most.
@@ -95,8 +101,8 @@
   // is sent than there are slots.
   int Room(config::UpstreamIndex aUpstream, TimePoint aNow) const;
   // Slots of this balancer's own share that it does not use. What peers say
-  // is not asked here: it lags, and they take these slots only while others
-  // idle. aQueueOne adds the places of SlotShare::HomeWithQueue while the
+  // counts here only when long work has held every slot for some time: it
+  // lags, and they take these slots only while others idle. aQueueOne adds the places of SlotShare::HomeWithQueue while the
   // upstream has a slot that the own long work leaves.
   int HomeRoom(config::UpstreamIndex aUpstream,
                bool aQueueOne,
@@ -111,7 +117,8 @@
   uint32_t Borrowed(config::UpstreamIndex aUpstream) const;
   Pool& PoolOfUpstream(config::UpstreamIndex aUpstream);
   void RefreshPool(config::ServiceIndex aService);
-  void RefreshPeers(const PeerLoads::Ids& aIds);
+  void RefreshPeers(const PeerLoads::Ids& aIds, TimePoint aNow);
+  void RefreshFull(config::UpstreamIndex aUpstream, TimePoint aNow);
   uint32_t SlotsOf(config::UpstreamIndex aUpstream) const;
   // The balancers share the upstream's connections evenly.
   bool HasConnection(config::UpstreamIndex aUpstream) const;
--- /dev/null
+++ b/tests/unit/DispatcherDifferentialTest.cpp
@@ -0,0 +1,353 @@
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <random>
+
+#include "foxtail/core/Hash.h"
+#include "foxtail/routing/Dispatcher.h"
+
+using namespace foxtail;
+using namespace foxtail::routing;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr uint32_t kConnections = 4;
+
+// What a simple balancer does: sends at once in turn, tries again after every
+// failure, and calls everything that it gives up not run.
+class NaiveDispatcher
+{
+public:
+  void SetSnapshot(config::SnapshotPtr aSnapshot, TimePoint)
+  {
+    mSnapshot = std::move(aSnapshot);
+  }
+  void OnReport(const LoadReport&, TimePoint) {}
+  void OnPeerLoads(uint64_t, const std::vector<LoadReport>&, TimePoint) {}
+  void OnPeerGone(uint64_t, TimePoint) {}
+  void Submit(const Work& aWork, TimePoint aNow, WorkActions& aActions)
+  {
+    mWorks[aWork.mSerial] = aWork;
+    Send(aWork, aActions);
+  }
+  bool Finish(uint32_t aSerial, Outcome aOutcome, TimePoint, WorkActions& a)
+  {
+    const Work work = mWorks[aSerial];
+    if (aOutcome == Outcome::Answered || aOutcome == Outcome::Cancelled) {
+      mWorks.erase(aSerial);
+      return false;
+    }
+    Send(work, a);
+    return true;
+  }
+  void Cancel(uint32_t aSerial, TimePoint, WorkActions& a)
+  {
+    mWorks.erase(aSerial);
+  }
+  void Tick(TimePoint aNow, WorkActions& aActions)
+  {
+    for (auto it = mWorks.begin(); it != mWorks.end();) {
+      if (it->second.mDeadline > aNow) {
+        ++it;
+        continue;
+      }
+      aActions.push_back(
+        RefuseWork{ it->first, RefusalReason::DeadlinePassed, 1s });
+      it = mWorks.erase(it);
+    }
+  }
+
+private:
+  void Send(const Work& aWork, WorkActions& aActions)
+  {
+    const size_t services = mSnapshot->mServices.size();
+    const auto& all =
+      mSnapshot->mServices[aWork.mService % services].mUpstreams;
+    aActions.push_back(SendWork{ aWork.mSerial, all[mNext++ % all.size()] });
+  }
+
+  config::SnapshotPtr mSnapshot;
+  std::map<uint32_t, Work> mWorks;
+  uint32_t mNext = 0;
+};
+
+// How often each invariant was broken.
+struct Violations
+{
+  int mOverCapacity = 0;
+  int mFalseRefusal = 0;
+  int mEndedTwice = 0;
+  int mNeverEnded = 0;
+  int mSentAgain = 0;
+  int mSentToDraining = 0;
+  int mSentLate = 0;
+
+  int Sum() const
+  {
+    return mOverCapacity + mFalseRefusal + mEndedTwice + mNeverEnded +
+           mSentAgain + mSentToDraining + mSentLate;
+  }
+};
+
+// Drives a dispatcher by a random script of everything that can happen, and
+// checks each action against a record of what was sent.
+template<typename D>
+class Script
+{
+public:
+  Script(D& aDispatcher, uint64_t aSeed)
+    : mDispatcher(aDispatcher)
+    , mRandom(aSeed)
+  {
+    ChangeConfig();
+  }
+
+  Violations Run(int aSteps)
+  {
+    for (int n = 0; n < aSteps; ++n) {
+      mNow += microseconds(Draw(2000));
+      Step();
+    }
+    mNow += 10s;
+    Do([&](WorkActions& a) { mDispatcher.Tick(mNow, a); });
+    for (const auto& [serial, it] : mRecords) {
+      mViolations.mNeverEnded += it.mEnds == 0 ? 1 : 0;
+    }
+    return mViolations;
+  }
+
+private:
+  struct Record
+  {
+    Work mWork;
+    // The id of the upstream that runs it, zero for none.
+    uint32_t mRunsAt = 0;
+    bool mMayHaveRun = false;
+    int mEnds = 0;
+  };
+
+  uint32_t Draw(uint32_t aBelow) { return mRandom() % aBelow; }
+
+  template<typename Call>
+  void Do(Call aCall)
+  {
+    WorkActions actions;
+    aCall(actions);
+    for (const WorkAction& it : actions) {
+      std::visit([this](const auto& a) { Check(a); }, it);
+    }
+  }
+
+  void Step()
+  {
+    const uint32_t kind = Draw(100);
+    if (kind < 45) {
+      Submit();
+    } else if (kind < 80) {
+      Finish();
+    } else if (kind < 85) {
+      Cancel();
+    } else if (kind < 95) {
+      Do([&](WorkActions& a) { mDispatcher.Tick(mNow, a); });
+    } else if (kind < 98) {
+      Report();
+    } else {
+      ChangeConfig();
+    }
+  }
+
+  void Submit()
+  {
+    Work work;
+    work.mSerial = ++mSerial;
+    work.mService = Draw(static_cast<uint32_t>(mSnapshot->mServices.size()));
+    work.mFlowHash = mRandom();
+    work.mDeadline = mNow + milliseconds(1 + Draw(300));
+    work.mIdempotent = Draw(2) == 0;
+    const auto& all = mSnapshot->mServices[work.mService].mUpstreams;
+    if (Draw(3) == 0) {
+      work.mBound = all[Draw(static_cast<uint32_t>(all.size()))];
+    }
+    mRecords[work.mSerial].mWork = work;
+    Do([&](WorkActions& a) { mDispatcher.Submit(work, mNow, a); });
+  }
+
+  // A request that runs somewhere; null when none does.
+  Record* Running()
+  {
+    std::vector<Record*> running;
+    for (auto& [serial, it] : mRecords) {
+      if (it.mRunsAt != 0 && it.mEnds == 0) {
+        running.push_back(&it);
+      }
+    }
+    return running.empty()
+             ? nullptr
+             : running[Draw(static_cast<uint32_t>(running.size()))];
+  }
+
+  void Finish()
+  {
+    Record* record = Running();
+    if (record == nullptr) {
+      return;
+    }
+    const uint32_t kind = Draw(100);
+    const Outcome outcome = kind < 60   ? Outcome::Answered
+                            : kind < 85 ? Outcome::Shed
+                            : kind < 95 ? Outcome::TimedOut
+                                        : Outcome::Cancelled;
+    record->mMayHaveRun |= outcome != Outcome::Shed;
+    Stop(*record);
+    const uint32_t serial = record->mWork.mSerial;
+    bool goesOn = false;
+    Do([&](WorkActions& a) {
+      goesOn = mDispatcher.Finish(serial, outcome, mNow, a);
+    });
+    if (!goesOn && record->mEnds == 0) {
+      End(*record);
+    }
+  }
+
+  void Cancel()
+  {
+    const uint32_t serial = 1 + Draw(mSerial + 1);
+    const auto it = mRecords.find(serial);
+    if (it == mRecords.end() || it->second.mEnds > 0) {
+      return;
+    }
+    Do([&](WorkActions& a) { mDispatcher.Cancel(serial, mNow, a); });
+    if (it->second.mEnds == 0) {
+      Stop(it->second);
+      End(it->second);
+    }
+  }
+
+  void Report()
+  {
+    LoadReport report;
+    report.mUpstream =
+      mSnapshot->mUpstreams[Draw(mSnapshot->mUpstreams.size())].mId;
+    report.mInFlight = Draw(2) * Draw(100);
+    report.mHealthy = Draw(3) != 0;
+    report.mDraining = Draw(5) == 0;
+    report.mTaken = mNow - milliseconds(Draw(1000));
+    mDispatcher.OnReport(report, mNow);
+    mDispatcher.OnPeerLoads(Draw(6) + 2, { report, report }, mNow);
+    if (Draw(4) == 0) {
+      mDispatcher.OnPeerGone(Draw(6) + 2, mNow);
+    }
+  }
+
+  // Services and upstreams come and go, and some drain.
+  void ChangeConfig()
+  {
+    auto snapshot = std::make_shared<config::Snapshot>();
+    for (uint32_t n = 0; n < 3; ++n) {
+      if (n > 0 && Draw(8) == 0) {
+        continue;
+      }
+      config::Service& service = snapshot->mServices.emplace_back();
+      service.mName = "service-" + std::to_string(n);
+      for (uint32_t u = 0; u < 4; ++u) {
+        if (u > 0 && Draw(6) == 0) {
+          continue;
+        }
+        config::Upstream& it = snapshot->mUpstreams.emplace_back();
+        it.mName = service.mName + "-" + std::to_string(u);
+        it.mSlots = 1 + u;
+        it.mMaxConnections = kConnections;
+        it.mDraining = Draw(5) == 0;
+        it.mService = static_cast<uint32_t>(snapshot->mServices.size() - 1);
+        it.mId = static_cast<uint32_t>(StableHash(it.mName));
+        service.mUpstreams.push_back(
+          static_cast<uint32_t>(snapshot->mUpstreams.size() - 1));
+      }
+    }
+    mSnapshot = snapshot;
+    mDispatcher.SetSnapshot(snapshot, mNow);
+  }
+
+  void Stop(Record& aRecord)
+  {
+    if (aRecord.mRunsAt != 0) {
+      --mInFlight[aRecord.mRunsAt];
+      aRecord.mRunsAt = 0;
+    }
+  }
+  void End(Record& aRecord)
+  {
+    mViolations.mEndedTwice += aRecord.mEnds++ > 0 ? 1 : 0;
+  }
+
+  void Check(const SendWork& aSend)
+  {
+    Record& record = mRecords.at(aSend.mSerial);
+    const config::Upstream& upstream = mSnapshot->mUpstreams[aSend.mUpstream];
+    const bool isBound = record.mWork.mBound != config::kNoIndex;
+    mViolations.mSentToDraining += upstream.mDraining && !isBound ? 1 : 0;
+    mViolations.mSentAgain += record.mMayHaveRun || record.mRunsAt != 0 ? 1 : 0;
+    mViolations.mEndedTwice += record.mEnds > 0 ? 1 : 0;
+    mViolations.mSentLate += record.mWork.mDeadline <= mNow ? 1 : 0;
+    Stop(record);
+    record.mRunsAt = upstream.mId;
+    const int inFlight = ++mInFlight[upstream.mId];
+    mViolations.mOverCapacity +=
+      inFlight > static_cast<int>(kConnections) ? 1 : 0;
+  }
+  void Check(const RefuseWork& aRefusal)
+  {
+    Record& record = mRecords.at(aRefusal.mSerial);
+    mViolations.mFalseRefusal +=
+      record.mMayHaveRun || record.mRunsAt != 0 ? 1 : 0;
+    Stop(record);
+    End(record);
+  }
+  void Check(const ExpireWork& aExpiry)
+  {
+    Record& record = mRecords.at(aExpiry.mSerial);
+    Stop(record);
+    End(record);
+  }
+
+  D& mDispatcher;
+  std::mt19937_64 mRandom;
+  TimePoint mNow{ 100s };
+  config::SnapshotPtr mSnapshot;
+  uint32_t mSerial = 0;
+  std::map<uint32_t, Record> mRecords;
+  std::map<uint32_t, int> mInFlight;
+  Violations mViolations;
+};
+
+} // namespace
+
+TEST_CASE("Dispatcher keeps its invariants under random events", "[routing]")
+{
+  const uint64_t seed = GENERATE(range(1, 41));
+  INFO("seed " << seed);
+  DispatcherSettings settings;
+  settings.mSeed = seed;
+  Dispatcher dispatcher(settings);
+  dispatcher.SetBalancers({ 1 }, 1);
+  const Violations it = Script(dispatcher, seed).Run(3000);
+  CHECK(it.mOverCapacity == 0);
+  CHECK(it.mFalseRefusal == 0);
+  CHECK(it.mEndedTwice == 0);
+  CHECK(it.mNeverEnded == 0);
+  CHECK(it.mSentAgain == 0);
+  CHECK(it.mSentToDraining == 0);
+  CHECK(it.mSentLate == 0);
+}
+
+TEST_CASE("A naive dispatcher breaks the invariants", "[routing]")
+{
+  NaiveDispatcher naive;
+  const Violations it = Script(naive, 1).Run(3000);
+  CHECK(it.mOverCapacity > 0);
+  CHECK(it.mFalseRefusal > 0);
+  CHECK(it.mSentAgain > 0);
+  CHECK(it.mSentToDraining > 0);
+  CHECK(it.mSentLate > 0);
+}
