--- /dev/null
+++ b/include/foxtail/daemon/Metrics.h
@@ -0,0 +1,46 @@
+#ifndef foxtail_daemon_Metrics_h
+#define foxtail_daemon_Metrics_h
+
+#include <map>
+#include <memory>
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/registry.h>
+#include <string>
+
+namespace foxtail::daemon {
+
+// The metrics of a process. Names follow Prometheus' conventions and start
+// with "foxtail_"; counters end in "_total". Thread-safe.
+class Metrics
+{
+public:
+  using Labels = std::map<std::string, std::string>;
+
+  Metrics();
+
+  // The counter or gauge of this name and these labels, created at first use.
+  // The reference stays valid as long as this object.
+  prometheus::Counter& Counter(const std::string& aName,
+                               const std::string& aHelp,
+                               const Labels& aLabels = {});
+  prometheus::Gauge& Gauge(const std::string& aName,
+                           const std::string& aHelp,
+                           const Labels& aLabels = {});
+
+  // Sets a counter that is counted elsewhere to aValue, which must not shrink.
+  void Advance(const std::string& aName,
+               const std::string& aHelp,
+               const Labels& aLabels,
+               double aValue);
+
+  // The exposition text.
+  std::string Text() const;
+
+private:
+  std::shared_ptr<prometheus::Registry> mRegistry;
+};
+
+} // namespace foxtail::daemon
+
+#endif
--- /dev/null
+++ b/include/foxtail/daemon/StatusServer.h
@@ -0,0 +1,47 @@
+#ifndef foxtail_daemon_StatusServer_h
+#define foxtail_daemon_StatusServer_h
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+
+#include "foxtail/core/Address.h"
+
+namespace foxtail::daemon {
+
+// What a query asks for, "/explain?caller=A&service=B".
+struct StatusQuery
+{
+  std::string mCaller;
+  std::string mService;
+};
+
+// Answers operators and scrapers over HTTP: /metrics (text) and JSON documents
+// at other paths. Handlers run on the server's own threads.
+class StatusServer
+{
+public:
+  using Handler = std::function<std::string(const StatusQuery&)>;
+
+  StatusServer();
+  ~StatusServer();
+
+  // Answers GET aPath with what aHandler returns. An Error that the handler
+  // throws becomes 400 with its message as {"error": ...}.
+  void Serve(const std::string& aPath,
+             const std::string& aContentType,
+             Handler aHandler);
+
+  // Throws DaemonError 910 when the address cannot be bound.
+  void Start(const Address& aAddress);
+  void Stop();
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> mImpl;
+};
+
+} // namespace foxtail::daemon
+
+#endif
