--- a/include/foxtail/membership/View.h
+++ b/include/foxtail/membership/View.h
@@ -10,8 +10,9 @@
 
 namespace foxtail::membership {
 
-// Names one life of one balancer. A restarted balancer has a greater
-// incarnation; zero is never used.
+// Names one life of one balancer: its start in milliseconds since the Unix
+// epoch in the upper 48 bits, random bits below. A restarted balancer has a
+// greater incarnation; zero is never used.
 using Incarnation = uint64_t;
 
 enum class MemberState
--- a/tests/unit/DaemonTest.cpp
+++ b/tests/unit/DaemonTest.cpp
@@ -2,8 +2,10 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <cstdlib>
 #include <fstream>
 #include <sstream>
+#include <unistd.h>
 
 #include "foxtail/core/Event.h"
 #include "foxtail/daemon/Log.h"
@@ -58,7 +60,8 @@
 
 TEST_CASE("Trace writes the sampled spans", "[daemon]")
 {
-  const std::string file = std::tmpnam(nullptr);
+  std::string file = "/tmp/foxtail-trace-XXXXXX";
+  ::close(::mkstemp(file.data()));
   Trace trace(file, "vm-1", 10);
   CHECK(trace.Samples(9));
   CHECK_FALSE(trace.Samples(10));
