Add the request table and the Echo values that admit postings

Cause: an owner needs one place that matches answers to requests, answers duplicates and decides whether a request that is not idempotent may run. A posting without an Echo value runs nothing; with one it runs at most once, at the incarnation that issued the value. Each datagram to an upstream has a token of its own, so that a late copy of a 5.03 can't be taken for the shed of a later attempt.

Before: no table. Not yet explored under failures; that follows.

--- /dev/null
+++ b/src/requests/RequestTable.cpp
@@ -0,0 +1,557 @@
+#include "foxtail/requests/RequestTable.h"
+
+#include <cassert>
+
+#include "absl/strings/str_cat.h"
+#include "foxtail/core/Error.h"
+#include "foxtail/core/Hash.h"
+
+namespace foxtail::requests {
+
+namespace {
+
+constexpr uint64_t kTagSeed = 0x746167;
+constexpr seconds kRefusalRetryAfter{ 1 };
+// Identity of an Echo value among the messages of a flow. Requests without one
+// that would need it are the same as no other message.
+constexpr uint64_t kNoEcho = 0;
+constexpr uint64_t kMissingEcho = 1;
+
+uint64_t
+EchoHash(const coap::Message& aRequest)
+{
+  if (aRequest.IsIdempotent()) {
+    return kNoEcho;
+  }
+  return aRequest.mEcho ? StableHash(*aRequest.mEcho) : kMissingEcho;
+}
+
+uint32_t
+IncarnationTag(Incarnation aIncarnation)
+{
+  return static_cast<uint32_t>(MixHash(kTagSeed, aIncarnation));
+}
+
+bool
+NeedsSeveralDatagrams(const coap::Message& aRequest)
+{
+  return aRequest.mBlock1 &&
+         (aRequest.mBlock1->mMore || aRequest.mBlock1->mNumber > 0);
+}
+
+} // namespace
+
+RequestTable::RequestTable(const RequestSettings& aSettings)
+  : mSettings(aSettings)
+  , mEcho(aSettings.mEcho)
+  , mTag(IncarnationTag(aSettings.mEcho.mIncarnation))
+{
+}
+
+RequestAction
+RequestTable::OnRequest(const FlowKey& aFlow,
+                        const coap::Message& aRequest,
+                        EchoIssuerPresence aPresence,
+                        TimePoint aNow,
+                        TimePoint aDeadline)
+{
+  const Incoming in{
+    aFlow, aRequest, coap::RequestDigest(aRequest), EchoHash(aRequest),
+    aNow,  aDeadline
+  };
+  SupersedeOthers(in);
+  if (aRequest.IsIdempotent()) {
+    return OnIdempotent(in);
+  }
+  return OnNonIdempotent(in, aPresence);
+}
+
+RequestAction
+RequestTable::OnIdempotent(const Incoming& aIn)
+{
+  const Slot slot = FindDuplicate(aIn);
+  if (slot != kNoSlot) {
+    return AnswerDuplicate(slot);
+  }
+  return StartOrRefuse(aIn, std::nullopt);
+}
+
+RequestAction
+RequestTable::OnNonIdempotent(const Incoming& aIn, EchoIssuerPresence aPresence)
+{
+  if (NeedsSeveralDatagrams(aIn.mMessage)) {
+    ++mCounters.mRefused;
+    MakeAnswer({ coap::kTooLarge,
+                 "",
+                 std::nullopt,
+                 "not run: the request must fit one datagram" },
+               HeaderFor(aIn.mMessage));
+    return Conclude{ mOut, false };
+  }
+  if (!aIn.mMessage.mEcho) {
+    return MakeChallenge(aIn);
+  }
+  const auto named = NamedIncarnation(*aIn.mMessage.mEcho);
+  if (!named) {
+    return MakeChallenge(aIn);
+  }
+  if (*named == mSettings.mEcho.mIncarnation) {
+    return OnEcho(aIn);
+  }
+  if (aPresence == EchoIssuerPresence::Present) {
+    ++mCounters.mHandedOver;
+    return HandTo{ *named };
+  }
+  return ConcludeUnknown(aIn, "the balancer that admitted it is gone");
+}
+
+RequestAction
+RequestTable::OnEcho(const Incoming& aIn)
+{
+  const EchoCheck check =
+    mEcho.Check(*aIn.mMessage.mEcho, aIn.mFlow, aIn.mDigest, aIn.mNow);
+  switch (check.mVerdict) {
+    case EchoVerdict::Forged:
+    case EchoVerdict::OtherRequest:
+      // No message with this value and this digest is ever run.
+      return MakeChallenge(aIn);
+    case EchoVerdict::Expired:
+      mEcho.SetState(check.mCounter, EchoState::Void);
+      return MakeChallenge(aIn);
+    case EchoVerdict::OtherFlow:
+      return ConcludeUnknown(aIn, "it was admitted from another address");
+    case EchoVerdict::Forgotten:
+      return ConcludeUnknown(aIn, "its Echo value is too old");
+    case EchoVerdict::Open:
+      return StartOrRefuse(aIn, check.mCounter);
+    case EchoVerdict::Started:
+    case EchoVerdict::Void:
+      break;
+  }
+  return OnDecidedEcho(aIn, check);
+}
+
+RequestAction
+RequestTable::OnDecidedEcho(const Incoming& aIn, const EchoCheck& aCheck)
+{
+  const auto it = mByEcho.find(aCheck.mCounter);
+  if (it != mByEcho.end() && IsSameMessage(mEntries[it->second], aIn)) {
+    return AnswerDuplicate(it->second);
+  }
+  if (aCheck.mVerdict == EchoVerdict::Void) {
+    return ConcludeRefused(
+      aIn, { RefusalCause::Unavailable, "refused before", kRefusalRetryAfter });
+  }
+  return ConcludeUnknown(aIn, "its Echo value was used before");
+}
+
+RequestAction
+RequestTable::AnswerDuplicate(Slot aSlot)
+{
+  const Entry& entry = mEntries[aSlot];
+  ++mCounters.mDuplicates;
+  if (entry.mPhase == Phase::Waiting || entry.mPhase == Phase::Sent) {
+    const bool mayResend = entry.mIdempotent && entry.mPhase == Phase::Sent;
+    return InProgress{ entry.mSerial, mayResend };
+  }
+  ++mCounters.mReplayed;
+  return ReplayAnswer{ entry.mStored };
+}
+
+RequestAction
+RequestTable::MakeChallenge(const Incoming& aIn)
+{
+  if (mLeaving) {
+    return HandToOwner{};
+  }
+  const EchoBytes echo = mEcho.Issue(aIn.mFlow, aIn.mDigest, aIn.mNow);
+  ++mCounters.mChallenged;
+  MakeAnswer({ coap::kUnauthorized,
+               { echo.data(), echo.size() },
+               std::nullopt,
+               "not run: repeat with this Echo value" },
+             HeaderFor(aIn.mMessage));
+  return Challenge{ mOut };
+}
+
+RequestAction
+RequestTable::StartOrRefuse(const Incoming& aIn,
+                            std::optional<uint64_t> aEchoCounter)
+{
+  std::string_view reason;
+  if (aIn.mNow >= aIn.mDeadline) {
+    reason = "its deadline has passed";
+  } else if (!MakeRoom(aIn.mNow)) {
+    reason = "too many open requests";
+  }
+  if (!reason.empty()) {
+    if (aEchoCounter) {
+      mEcho.SetState(*aEchoCounter, EchoState::Void);
+    }
+    return ConcludeRefused(
+      aIn, { RefusalCause::Unavailable, reason, kRefusalRetryAfter });
+  }
+  const Slot slot = Allocate();
+  Fill(slot, aIn, aEchoCounter);
+  ++mCounters.mStarted;
+  return StartRequest{ mEntries[slot].mSerial,
+                       aIn.mDeadline,
+                       !aEchoCounter.has_value() };
+}
+
+RequestAction
+RequestTable::ConcludeUnknown(const Incoming& aIn, std::string_view aText)
+{
+  ++mCounters.mUnknown;
+  MakeUnknown(aText, HeaderFor(aIn.mMessage));
+  return Conclude{ mOut, true };
+}
+
+RequestAction
+RequestTable::ConcludeRefused(const Incoming& aIn, const Refusal& aRefusal)
+{
+  ++mCounters.mRefused;
+  MakeRefusal(aRefusal, aIn.mMessage.IsIdempotent(), HeaderFor(aIn.mMessage));
+  return Conclude{ mOut, false };
+}
+
+bool
+RequestTable::IsSameMessage(const Entry& aEntry, const Incoming& aIn)
+{
+  return aEntry.mFlow == aIn.mFlow &&
+         aEntry.mMessageId == aIn.mMessage.mMessageId &&
+         aEntry.mToken == aIn.mMessage.mToken &&
+         aEntry.mType == aIn.mMessage.mType && aEntry.mDigest == aIn.mDigest &&
+         aEntry.mEchoHash == aIn.mEchoHash;
+}
+
+std::optional<std::string_view>
+RequestTable::Send(uint32_t aSerial, const Address& aUpstream, TimePoint aNow)
+{
+  const Slot slot = FindSerial(aSerial);
+  if (slot == kNoSlot) {
+    return std::nullopt;
+  }
+  Entry& entry = mEntries[slot];
+  if (entry.mPhase != Phase::Waiting || aNow >= entry.mDeadline) {
+    return std::nullopt;
+  }
+  if (entry.mAttempts == 0) {
+    entry.mAttempt = entry.mSerial;
+  } else {
+    entry.mAttempt = NextSerial();
+    mBySerial.emplace(entry.mAttempt, slot);
+  }
+  ++entry.mAttempts;
+  entry.mUpstream = aUpstream;
+  entry.mUpstreamMessageId = NextMessageId(aUpstream);
+  entry.mPhase = Phase::Sent;
+  if (!entry.mIdempotent && entry.mAttempts == 1) {
+    mEcho.SetState(entry.mEchoCounter, EchoState::Started);
+  }
+  ++mCounters.mSent;
+  WriteHeader(entry);
+  return entry.mStored;
+}
+
+std::optional<std::string_view>
+RequestTable::Resend(uint32_t aSerial, TimePoint aNow)
+{
+  const Slot slot = FindSerial(aSerial);
+  if (slot == kNoSlot) {
+    return std::nullopt;
+  }
+  const Entry& entry = mEntries[slot];
+  if (!entry.mIdempotent || entry.mPhase != Phase::Sent ||
+      aNow >= entry.mDeadline) {
+    return std::nullopt;
+  }
+  ++mCounters.mSent;
+  return entry.mStored;
+}
+
+std::optional<Address>
+RequestTable::SentTo(uint32_t aSerial) const
+{
+  const Slot slot = FindSerial(aSerial);
+  if (slot == kNoSlot || mEntries[slot].mPhase != Phase::Sent) {
+    return std::nullopt;
+  }
+  return mEntries[slot].mUpstream;
+}
+
+UpstreamAction
+RequestTable::OnUpstream(const Address& aFrom,
+                         const coap::Message& aMessage,
+                         TimePoint aNow)
+{
+  if (aMessage.mType == coap::Type::Reset || aMessage.IsEmpty()) {
+    return { Ignored{}, {} };
+  }
+  const auto token = aMessage.mToken.Value();
+  Slot slot = kNoSlot;
+  if (aMessage.IsResponse() && token && *token >> 32 == mTag) {
+    slot = FindAttempt(static_cast<uint32_t>(*token), aFrom);
+  }
+  UpstreamAction result{ Stale{}, {} };
+  if (slot != kNoSlot) {
+    result = OnResponse(slot, aMessage, aNow);
+  } else {
+    ++mCounters.mStaleAnswers;
+  }
+  if (aMessage.mType == coap::Type::Confirmable) {
+    const auto type =
+      slot != kNoSlot ? coap::Type::Acknowledgement : coap::Type::Reset;
+    coap::EncodeEmpty(type, aMessage.mMessageId, mReply);
+    result.mReply = mReply;
+  }
+  return result;
+}
+
+UpstreamAction
+RequestTable::OnResponse(Slot aSlot,
+                         const coap::Message& aMessage,
+                         TimePoint aNow)
+{
+  Entry& entry = mEntries[aSlot];
+  if (entry.mPhase == Phase::Answered) {
+    return { Ignored{}, {} };
+  }
+  if (entry.mPhase == Phase::Ended) {
+    RecordLate(entry, aMessage);
+    return { Recorded{ entry.mSerial }, {} };
+  }
+  assert(entry.mPhase == Phase::Sent);
+  if (aMessage.mCode == coap::kUnavailable) {
+    TakeShed(entry);
+    return { Shed{ entry.mSerial }, {} };
+  }
+  StoreAnswer(entry, aMessage);
+  Deliver deliver{ entry.mSerial, entry.mFlow, {} };
+  if (!entry.mSuperseded) {
+    deliver.mBytes = mOut;
+  }
+  Finish(aSlot, Phase::Answered, aNow);
+  ++mCounters.mAnswered;
+  return { deliver, {} };
+}
+
+void
+RequestTable::TakeShed(Entry& aEntry)
+{
+  ++mCounters.mShed;
+  if (aEntry.mAttempt != aEntry.mSerial) {
+    mBySerial.erase(aEntry.mAttempt);
+  }
+  // From here on no datagram matches this attempt.
+  aEntry.mAttempt = kNoSerial;
+  aEntry.mPhase = Phase::Waiting;
+}
+
+void
+RequestTable::RecordLate(Entry& aEntry, const coap::Message& aMessage)
+{
+  ++mCounters.mLateAnswers;
+  if (aMessage.mCode != coap::kUnavailable) {
+    StoreAnswer(aEntry, aMessage);
+    aEntry.mPhase = Phase::Answered;
+    return;
+  }
+  TakeShed(aEntry);
+  aEntry.mPhase = Phase::Ended;
+  if (!aEntry.mIdempotent) {
+    mEcho.SetState(aEntry.mEchoCounter, EchoState::Void);
+  }
+  MakeRefusal(
+    { RefusalCause::Unavailable, "shed by the upstream", kRefusalRetryAfter },
+    aEntry.mIdempotent,
+    HeaderFor(aEntry));
+  Store(aEntry, mOut);
+}
+
+void
+RequestTable::StoreAnswer(Entry& aEntry, const coap::Message& aMessage)
+{
+  const ReplyHeader header = HeaderFor(aEntry);
+  coap::EncodeRelayed(
+    aMessage, header.mType, header.mMessageId, header.mToken, mOut);
+  Store(aEntry, mOut);
+}
+
+Ended
+RequestTable::Refuse(uint32_t aSerial, const Refusal& aRefusal, TimePoint aNow)
+{
+  const Slot slot = FindSerial(aSerial);
+  if (slot == kNoSlot || mEntries[slot].mPhase != Phase::Waiting) {
+    throw RequestError(510,
+                       absl::StrCat("request ", aSerial),
+                       "only a request that waits for an upstream can be "
+                       "refused");
+  }
+  return EndRefused(slot, aRefusal, aNow);
+}
+
+std::optional<Ended>
+RequestTable::Expire(uint32_t aSerial, TimePoint aNow)
+{
+  const Slot slot = FindSerial(aSerial);
+  if (slot == kNoSlot || !IsOpen(mEntries[slot])) {
+    return std::nullopt;
+  }
+  return EndEarly(slot, "its deadline has passed", aNow);
+}
+
+std::optional<Ended>
+RequestTable::OnCallerReset(const FlowKey& aFlow,
+                            uint16_t aMessageId,
+                            TimePoint aNow)
+{
+  Slot slot = FirstOf(aFlow, aMessageId);
+  while (slot != kNoSlot &&
+         (!IsOpen(mEntries[slot]) || mEntries[slot].mSuperseded)) {
+    slot = mEntries[slot].mNext;
+  }
+  if (slot == kNoSlot) {
+    return std::nullopt;
+  }
+  ++mCounters.mCancelled;
+  Ended ended = EndEarly(slot, "the caller cancelled it", aNow);
+  ended.mBytes = {};
+  return ended;
+}
+
+Ended
+RequestTable::EndEarly(Slot aSlot, std::string_view aText, TimePoint aNow)
+{
+  if (mEntries[aSlot].mPhase == Phase::Sent) {
+    return EndUnknown(aSlot, aText, aNow);
+  }
+  return EndRefused(
+    aSlot, { RefusalCause::Unavailable, aText, kRefusalRetryAfter }, aNow);
+}
+
+Ended
+RequestTable::EndRefused(Slot aSlot, const Refusal& aRefusal, TimePoint aNow)
+{
+  Entry& entry = mEntries[aSlot];
+  assert(entry.mPhase == Phase::Waiting);
+  if (!entry.mIdempotent) {
+    mEcho.SetState(entry.mEchoCounter, EchoState::Void);
+  }
+  ++mCounters.mRefused;
+  MakeRefusal(aRefusal, entry.mIdempotent, HeaderFor(entry));
+  return EndWithAnswer(aSlot, aNow);
+}
+
+Ended
+RequestTable::EndUnknown(Slot aSlot, std::string_view aText, TimePoint aNow)
+{
+  Entry& entry = mEntries[aSlot];
+  ++mCounters.mUnknown;
+  MakeUnknown(aText, HeaderFor(entry));
+  coap::EncodeEmpty(coap::Type::Reset, entry.mUpstreamMessageId, mReply);
+  Ended ended = EndWithAnswer(aSlot, aNow);
+  ended.mUnknown = true;
+  ended.mCancel = CancelAtUpstream{ entry.mUpstream, mReply };
+  return ended;
+}
+
+Ended
+RequestTable::EndWithAnswer(Slot aSlot, TimePoint aNow)
+{
+  Entry& entry = mEntries[aSlot];
+  Store(entry, mOut);
+  Finish(aSlot, Phase::Ended, aNow);
+  Ended ended;
+  ended.mFlow = entry.mFlow;
+  if (!entry.mSuperseded) {
+    ended.mBytes = mOut;
+  }
+  return ended;
+}
+
+void
+RequestTable::Finish(Slot aSlot, Phase aPhase, TimePoint aNow)
+{
+  Entry& entry = mEntries[aSlot];
+  entry.mPhase = aPhase;
+  entry.mFinished = aNow;
+  --mOpen;
+  while (mBytes > mSettings.mMaxBytes && EvictOldest()) {
+  }
+  ForgetToken(aSlot);
+  if (entry.mIdempotent) {
+    mFinishedIdempotent.push_back(aSlot);
+    return;
+  }
+  mLastAnswered = aNow;
+  Unlink(aSlot);
+  mFinishedOthers.push_back(aSlot);
+}
+
+bool
+RequestTable::HasOutstanding(TimePoint aNow) const
+{
+  const bool lingers =
+    mLastAnswered && aNow < *mLastAnswered + mSettings.mAnswerLinger;
+  return mOpen > 0 || lingers || mEcho.HasOpen(aNow);
+}
+
+RequestTable::ReplyHeader
+RequestTable::HeaderFor(coap::Type aType,
+                        uint16_t aMessageId,
+                        const coap::Token& aToken)
+{
+  if (aType == coap::Type::Confirmable) {
+    return { coap::Type::Acknowledgement, aMessageId, aToken };
+  }
+  return { coap::Type::NonConfirmable, ++mLastCallerMessageId, aToken };
+}
+
+RequestTable::ReplyHeader
+RequestTable::HeaderFor(const Entry& aEntry)
+{
+  return HeaderFor(aEntry.mType, aEntry.mMessageId, aEntry.mToken);
+}
+
+RequestTable::ReplyHeader
+RequestTable::HeaderFor(const coap::Message& aRequest)
+{
+  return HeaderFor(aRequest.mType, aRequest.mMessageId, aRequest.mToken);
+}
+
+void
+RequestTable::MakeAnswer(const coap::AnswerContent& aContent,
+                         const ReplyHeader& aHeader)
+{
+  coap::EncodeAnswer(
+    aContent, aHeader.mType, aHeader.mMessageId, aHeader.mToken, mOut);
+}
+
+void
+RequestTable::MakeRefusal(const Refusal& aRefusal,
+                          bool aIdempotent,
+                          const ReplyHeader& aHeader)
+{
+  // A copy of an idempotent request may have run at another balancer; the
+  // refusal makes no claim about it.
+  const std::string text = absl::StrCat(aIdempotent ? "retry: " : "not run: ",
+                                        std::string(aRefusal.mText));
+  coap::AnswerContent content;
+  content.mText = text;
+  if (aRefusal.mCause == RefusalCause::NoService) {
+    content.mCode = coap::kNotFound;
+  } else {
+    content.mMaxAge = aRefusal.mRetryAfter;
+  }
+  MakeAnswer(content, aHeader);
+}
+
+void
+RequestTable::MakeUnknown(std::string_view aText, const ReplyHeader& aHeader)
+{
+  const std::string text = absl::StrCat("unknown: ", std::string(aText));
+  MakeAnswer({ coap::kGatewayTimeout, "", std::nullopt, text }, aHeader);
+}
+
+} // namespace foxtail::requests
