--- a/src/requests/RequestTable.cpp
+++ b/src/requests/RequestTable.cpp
@@ -191,6 +191,10 @@
     return ConcludeRefused(
       aIn, { RefusalCause::Unavailable, reason, kRefusalRetryAfter });
   }
+  if (aEchoCounter) {
+    // A copy that comes before the request is sent must not start it again.
+    mEcho.SetState(*aEchoCounter, EchoState::Started);
+  }
   const Slot slot = Allocate();
   Fill(slot, aIn, aEchoCounter);
   ++mCounters.mStarted;
@@ -246,9 +250,6 @@
   entry.mUpstream = aUpstream;
   entry.mUpstreamMessageId = NextMessageId(aUpstream);
   entry.mPhase = Phase::Sent;
-  if (!entry.mIdempotent && entry.mAttempts == 1) {
-    mEcho.SetState(entry.mEchoCounter, EchoState::Started);
-  }
   ++mCounters.mSent;
   WriteHeader(entry);
   return entry.mStored;
