--- a/tests/unit/RequestTableTest.cpp
+++ b/tests/unit/RequestTableTest.cpp
@@ -15,6 +15,7 @@
 const FlowKey kOtherFlow{ Address::Parse("127.1.0.2:4000"), kFlow.mService };
 const Address kUpstream = Address::Parse("127.1.0.20:5683");
 const Address kSecondUpstream = Address::Parse("127.1.0.21:5683");
+constexpr seconds kTimeout{ 30 };
 constexpr Incarnation kSelf = 7;
 constexpr Incarnation kPeer = 8;
 
@@ -36,14 +37,23 @@
   }
 
   RequestAction Receive(const RequestBytes& aRequest,
-                        const FlowKey& aFlow = kFlow)
+                        const FlowKey& aFlow = kFlow,
+                        bool aPresent = false)
   {
     mDatagram = Encode(aRequest);
     return mTable.OnRequest(aFlow,
                             coap::Decode(mDatagram),
-                            EchoIssuerPresence::Absent,
+                            aPresent ? EchoIssuerPresence::Present
+                                     : EchoIssuerPresence::Absent,
                             mNow,
-                            mNow + seconds(30));
+                            mNow + kTimeout);
+  }
+
+  // The answer's code and text.
+  std::string Answer(const RequestBytes& aRequest, const FlowKey& aFlow = kFlow)
+  {
+    return std::visit([this](const auto& a) { return Text(a); },
+                      Receive(aRequest, aFlow));
   }
 
   // Takes the challenge and returns the repeated request.
@@ -76,6 +86,31 @@
     return mTable.OnUpstream(aFrom, coap::Decode(mReply), mNow);
   }
 
+  template<typename Action>
+  std::string Text(const Action& aAction)
+  {
+    if constexpr (std::is_same_v<Action, StartRequest>) {
+      return "start";
+    } else if constexpr (std::is_same_v<Action, InProgress>) {
+      return "in progress";
+    } else if constexpr (std::is_same_v<Action, HandTo>) {
+      return "hand to " + std::to_string(aAction.mIncarnation);
+    } else if constexpr (std::is_same_v<Action, HandToOwner>) {
+      return "hand to owner";
+    } else {
+      return Summary(aAction.mBytes);
+    }
+  }
+
+  // The code of an answer and the first word of its text.
+  static std::string Summary(std::string_view aBytes)
+  {
+    const coap::Message m = coap::Decode(aBytes);
+    const std::string text(m.mPayload);
+    return std::to_string(m.mCode >> 5) + "." + std::to_string(m.mCode & 31) +
+           " " + text.substr(0, text.find(':'));
+  }
+
   RequestTable mTable;
   TimePoint mNow{ seconds(1000) };
   std::string mDatagram;
@@ -103,3 +138,302 @@
   CHECK(delivered.mPayload == "done");
   CHECK(std::get<ReplayAnswer>(f.Receive(posting)).mBytes == bytes);
 }
+
+TEST_CASE("A copy that comes before the send starts nothing", "[requests]")
+{
+  Fixture f;
+  const RequestBytes posting = f.Admit({});
+  const uint32_t serial = f.Start(posting);
+  CHECK(f.Answer(posting) == "in progress");
+  f.Send(serial);
+  CHECK(f.Answer(posting) == "in progress");
+}
+
+TEST_CASE("Echo values that don't admit a posting", "[requests]")
+{
+  Fixture f;
+  const RequestBytes posting = f.Admit({});
+  RequestBytes changed = posting;
+  SECTION("none, cut short, forged or of another request: challenged anew")
+  {
+    const auto change = GENERATE(0, 1, 2, 3);
+    changed.mEcho = change == 0 ? "" : posting.mEcho;
+    changed.mEcho.resize(change == 1 ? 39 : changed.mEcho.size());
+    if (change == 2) {
+      changed.mEcho[20] ^= 1;
+    }
+    changed.mPayload = change == 3 ? "6" : "5";
+    CHECK(f.Answer(changed) == "4.1 not run");
+    CHECK(f.Answer(posting) == "start");
+  }
+  SECTION("expired: void before a new one is given")
+  {
+    f.mNow += seconds(15);
+    CHECK(f.Answer(posting) == "4.1 not run");
+    f.mNow -= seconds(15);
+    CHECK(f.Answer(posting) == "5.3 not run");
+  }
+  SECTION("from another flow: unknown, and still good for its own")
+  {
+    CHECK(f.Answer(posting, kOtherFlow) == "5.4 unknown");
+    CHECK(f.Answer(posting) == "start");
+  }
+  SECTION("used by another message: unknown")
+  {
+    f.Send(f.Start(posting));
+    ++changed.mMessageId;
+    CHECK(f.Answer(changed) == "5.4 unknown");
+  }
+  SECTION("its answer is forgotten: unknown")
+  {
+    f.Reply(f.Send(f.Start(posting)), coap::kContent, "done");
+    f.mNow += seconds(247);
+    f.mTable.Collect(f.mNow);
+    CHECK(f.Answer(posting) == "5.4 unknown");
+  }
+  SECTION("of a peer: handed over, or unknown when the peer is gone")
+  {
+    Fixture peer(Settings(kPeer));
+    CHECK(peer.Answer(posting) == "5.4 unknown");
+    const auto action = peer.Receive(posting, kFlow, true);
+    CHECK(std::get<HandTo>(action).mIncarnation == kSelf);
+  }
+  SECTION("of the incarnation before a restart: unknown")
+  {
+    Fixture restarted(Settings(kSelf + 10));
+    CHECK(restarted.Answer(posting) == "5.4 unknown");
+  }
+  SECTION("more than one block: refused, whatever it carries")
+  {
+    changed.mMoreBlocks = true;
+    changed.mEcho = GENERATE_COPY(std::string(), posting.mEcho);
+    CHECK(f.Answer(changed) == "4.13 not run");
+  }
+}
+
+TEST_CASE("Answers that match no running request", "[requests]")
+{
+  Fixture f;
+  const RequestBytes posting = f.Admit({});
+  const uint32_t serial = f.Start(posting);
+  const std::string sent = f.Send(serial);
+  std::string token(sent);
+  const auto isStale = [&](const std::string& aSent, const Address& aFrom) {
+    const auto result =
+      f.Reply(aSent, coap::kContent, "done", aFrom, coap::Type::Confirmable);
+    CHECK(coap::Decode(result.mReply).mType == coap::Type::Reset);
+    return std::holds_alternative<Stale>(result.mAction);
+  };
+  SECTION("from another upstream")
+  {
+    CHECK(isStale(sent, kSecondUpstream));
+  }
+  SECTION("for another incarnation")
+  {
+    token[4] ^= 1;
+    CHECK(isStale(token, kUpstream));
+  }
+  SECTION("for another serial number")
+  {
+    token[11] ^= 1;
+    CHECK(isStale(token, kUpstream));
+  }
+  SECTION("after the request was forgotten and its slot used again")
+  {
+    f.Reply(sent, coap::kContent, "done");
+    f.mNow += seconds(247);
+    RequestBytes next;
+    next.mMessageId = 9;
+    f.Send(f.Start(f.Admit(next)));
+    CHECK(isStale(sent, kUpstream));
+  }
+  SECTION("a late copy of a first 5.03 from the same upstream")
+  {
+    f.Reply(sent, coap::kUnavailable, "busy");
+    const std::string second = f.Send(serial);
+    CHECK(f.mTable.SentTo(serial) == kUpstream);
+    const auto copy = f.Reply(sent, coap::kUnavailable, "busy");
+    CHECK(std::holds_alternative<Stale>(copy.mAction));
+    CHECK_FALSE(f.mTable.Send(serial, kSecondUpstream, f.mNow));
+    const auto answer = f.Reply(second, coap::kContent, "done");
+    CHECK(std::holds_alternative<Deliver>(answer.mAction));
+  }
+  SECTION("a reset of a restarted upstream leaves the outcome open")
+  {
+    std::string reset;
+    coap::EncodeEmpty(coap::Type::Reset, coap::Decode(sent).mMessageId, reset);
+    f.mTable.OnUpstream(kUpstream, coap::Decode(reset), f.mNow);
+    CHECK(f.mTable.Expire(serial, f.mNow)->mUnknown);
+  }
+}
+
+TEST_CASE("How requests end without an answer", "[requests]")
+{
+  Fixture f;
+  const RequestBytes posting = f.Admit({});
+  const uint32_t serial = f.Start(posting);
+  SECTION("refused before a send: not run, now and later")
+  {
+    const auto cause =
+      GENERATE(RefusalCause::Unavailable, RefusalCause::NoService);
+    const Ended ended =
+      f.mTable.Refuse(serial, { cause, "full", seconds(3) }, f.mNow);
+    const std::string summary = f.Summary(ended.mBytes);
+    CHECK(summary ==
+          (cause == RefusalCause::NoService ? "4.4 not run" : "5.3 not run"));
+    CHECK(f.Answer(posting) == summary);
+    CHECK_FALSE(f.mTable.Send(serial, kUpstream, f.mNow));
+    f.mNow += seconds(247);
+    f.mTable.Collect(f.mNow);
+    CHECK(f.Answer(posting) == "5.3 not run");
+  }
+  SECTION("refused while an upstream has it: an error")
+  {
+    f.Send(serial);
+    CHECK_THROWS_AS(f.mTable.Refuse(serial, {}, f.mNow), RequestError);
+  }
+  SECTION("the deadline passes before the send: not run")
+  {
+    f.mNow += kTimeout;
+    CHECK_FALSE(f.mTable.Send(serial, kUpstream, f.mNow));
+    const auto ended = f.mTable.Expire(serial, f.mNow);
+    CHECK(f.Summary(ended->mBytes) == "5.3 not run");
+    CHECK_FALSE(ended->mCancel);
+  }
+  SECTION("the deadline passes after the send: unknown, until it is known")
+  {
+    const std::string sent = f.Send(serial);
+    const auto ended = f.mTable.Expire(serial, f.mNow);
+    CHECK(f.Summary(ended->mBytes) == "5.4 unknown");
+    CHECK(ended->mCancel->mUpstream == kUpstream);
+    CHECK(coap::Decode(ended->mCancel->mBytes).mMessageId ==
+          coap::Decode(sent).mMessageId);
+    CHECK_FALSE(f.mTable.Expire(serial, f.mNow));
+    const bool ran = GENERATE(true, false);
+    const auto late = f.Reply(
+      sent, ran ? coap::kContent : coap::kUnavailable, "done", kUpstream);
+    CHECK(std::holds_alternative<Recorded>(late.mAction));
+    CHECK(f.Answer(posting) == (ran ? "2.5 done" : "5.3 not run"));
+  }
+  SECTION("the caller cancels it: it gets no answer")
+  {
+    f.Send(serial);
+    const auto ended =
+      f.mTable.OnCallerReset(kFlow, posting.mMessageId, f.mNow);
+    CHECK(ended->mBytes.empty());
+    CHECK(ended->mCancel);
+    CHECK_FALSE(f.mTable.OnCallerReset(kFlow, posting.mMessageId, f.mNow));
+    CHECK(f.Answer(posting) == "5.4 unknown");
+  }
+}
+
+TEST_CASE("An answer never goes to the next user of a caller's port",
+          "[requests]")
+{
+  Fixture f;
+  const bool confirmable = GENERATE(true, false);
+  RequestBytes old;
+  old.mConfirmable = confirmable;
+  old = f.Admit(old);
+  const std::string sent = f.Send(f.Start(old));
+  RequestBytes next = old;
+  next.mConfirmable = true;
+  // A non-confirmable answer is matched by token alone.
+  next.mMessageId += confirmable ? 0 : 5;
+  SECTION("another request")
+  {
+    next.mCode = coap::kGet;
+  }
+  SECTION("the same request anew")
+  {
+    next.mEcho.clear();
+  }
+  f.Receive(next);
+  const auto answer = f.Reply(sent, coap::kContent, "done");
+  CHECK(std::get<Deliver>(answer.mAction).mBytes.empty());
+  CHECK(f.mTable.Counters().mSuperseded == 1);
+}
+
+TEST_CASE("Idempotent requests need no Echo and may be repeated", "[requests]")
+{
+  Fixture f;
+  RequestBytes get;
+  get.mCode = coap::kGet;
+  get.mEcho = GENERATE("", "left over");
+  const uint32_t serial = f.Start(get);
+  SECTION("a duplicate repeats the same datagram")
+  {
+    const std::string sent = f.Send(serial);
+    CHECK(std::get<InProgress>(f.Receive(get)).mMayResend);
+    CHECK(f.mTable.Resend(serial, f.mNow) == sent);
+    f.Reply(sent, coap::kContent, "42");
+    CHECK(f.Answer(get) == "2.5 42");
+    f.mNow += seconds(10);
+    f.mTable.Collect(f.mNow);
+    CHECK(f.Answer(get) == "start");
+  }
+  SECTION("a refusal makes no claim on copies at other balancers")
+  {
+    const Ended ended = f.mTable.Refuse(serial, {}, f.mNow);
+    CHECK(f.Summary(ended.mBytes) == "5.3 retry");
+  }
+  SECTION("a separate answer is acknowledged and delivered once")
+  {
+    const std::string sent = f.Send(serial);
+    for (const bool first : { true, false }) {
+      const auto result =
+        f.Reply(sent, coap::kContent, "42", kUpstream, coap::Type::Confirmable);
+      CHECK(std::holds_alternative<Deliver>(result.mAction) == first);
+      CHECK(coap::Decode(result.mReply).mType == coap::Type::Acknowledgement);
+    }
+  }
+}
+
+TEST_CASE("A leaving balancer answers for its own values and admits no more",
+          "[requests]")
+{
+  Fixture f;
+  const RequestBytes posting = f.Admit({});
+  f.mTable.Leave();
+  CHECK(f.Answer({}) == "hand to owner");
+  CHECK(f.mTable.HasOutstanding(f.mNow));
+  SECTION("a value that is never used expires")
+  {
+    f.mNow += seconds(15);
+    CHECK_FALSE(f.mTable.HasOutstanding(f.mNow));
+  }
+  SECTION("a posting is finished and its answer stays for a while")
+  {
+    const std::string sent = f.Send(f.Start(posting));
+    f.mNow += seconds(20);
+    CHECK(f.mTable.HasOutstanding(f.mNow));
+    f.Reply(sent, coap::kContent, "done");
+    CHECK(f.mTable.HasOutstanding(f.mNow));
+    f.mNow += seconds(5);
+    CHECK_FALSE(f.mTable.HasOutstanding(f.mNow));
+  }
+}
+
+TEST_CASE("Memory is bounded and what is forgotten is not run again",
+          "[requests]")
+{
+  RequestSettings settings = Settings(kSelf);
+  settings.mMaxRequests = 2;
+  Fixture f(settings);
+  const auto posting = [&f](uint16_t aMessageId) {
+    RequestBytes request;
+    request.mMessageId = aMessageId;
+    return f.Admit(request);
+  };
+  const RequestBytes first = posting(10);
+  const uint32_t serial = f.Start(first);
+  f.Start(posting(20));
+  const RequestBytes third = posting(30);
+  CHECK(f.Answer(third) == "5.3 not run");
+  f.Reply(f.Send(serial), coap::kContent, "done");
+  CHECK(f.Answer(third) == "5.3 not run");
+  CHECK(f.Answer(posting(40)) == "start");
+  CHECK(f.mTable.Counters().mEvicted == 1);
+  CHECK(f.Answer(first) == "5.4 unknown");
+  CHECK(f.mTable.OpenRequests() == 2);
+}
