--- /dev/null
+++ b/src/membership/Gossip.cpp
@@ -0,0 +1,33 @@
+#include "foxtail/membership/Gossip.h"
+
+#include <tuple>
+
+namespace foxtail::membership {
+
+namespace {
+
+int
+Severity(const MemberRecord& aRecord)
+{
+  switch (aRecord.mMember.mState) {
+    case MemberState::Dead:
+      return 2;
+    case MemberState::Suspect:
+      return 1;
+    default:
+      return 0;
+  }
+}
+
+} // namespace
+
+bool
+Supersedes(const MemberRecord& aLeft, const MemberRecord& aRight)
+{
+  const auto rank = [](const MemberRecord& r) {
+    return std::make_tuple(r.mAgentIncarnation, r.mRevision, Severity(r));
+  };
+  return rank(aLeft) > rank(aRight);
+}
+
+} // namespace foxtail::membership
