--- a/include/foxtail/membership/Gossip.h
+++ b/include/foxtail/membership/Gossip.h
@@ -16,15 +16,23 @@
 // Suspect or Dead, what others say of that statement.
 struct MemberRecord
 {
-  // mIncarnation is zero while no balancer lives on the VM. mState is never
-  // Leaving in a record; mLeaving says so and stays beside a suspicion.
+  // mIncarnation is zero when there has been no balancer yet. mState is never
+  // Leaving in a record; mLeaving says so and stays beside a suspicion. Region
+  // and domain are empty in gossip; the published VM list has them.
   Member mMember;
   AgentIncarnation mAgentIncarnation = 0;
   // Grows with each statement that the agent makes.
   uint32_t mRevision = 0;
   bool mLeaving = false;
+  // The balancer of mMember.mIncarnation lives no longer and its incarnation
+  // will not be used again.
+  bool mBalancerAbsent = false;
 };
 
+// No fewer bytes than the record takes in a datagram.
+size_t
+WireSizeBound(const MemberRecord& aRecord);
+
 // True when aLeft takes the place of aRight, both being about the same VM: a
 // later life of the agent, a later statement in the same life, or a worse
 // verdict on the same statement.
@@ -52,10 +60,11 @@
   Ack,
   IndirectProbe,
   Sync,
-  SyncReply
+  SyncReply,
+  Update
 };
 
-constexpr int kGossipKinds = 5;
+constexpr int kGossipKinds = 6;
 
 // One datagram between two agents.
 struct Gossip
--- a/include/foxtail/net/PeerCodec.h
+++ b/include/foxtail/net/PeerCodec.h
@@ -13,7 +13,8 @@
 //   700 longer than the limit of its kind
 //   701 no protobuf of this message
 //   702 a name, region or domain that is empty, too long or not printable
-//   703 an incarnation of zero where a live process must be named
+//   703 an incarnation of zero where a live process must be named, or one so
+//       great that no greater one could follow
 //   704 a state out of range
 //   705 a port that is zero or above 65535
 //   706 an IP number that no VM can have (0.0.0.0/8, multicast, broadcast)
@@ -22,7 +23,8 @@
 //   709 a target missing or not a name
 //   710 a document that is no version's: JSON without a number, or patches
 //       beside a document
-//   711 a revision or view sequence of zero
+//   711 a revision or view sequence of zero, or a revision so great that no
+//       greater one could follow
 //   712 one upstream or flow named twice, or an upstream of zero
 namespace foxtail::net {
 
@@ -43,6 +45,9 @@
 constexpr size_t kMaxFlowRecordsSize = 8 << 20;
 // Length of a name; bytes.
 constexpr size_t kMaxNameLength = 63;
+// Greater ones would leave a process no room for its next life or statement.
+constexpr uint64_t kMaxIncarnation = uint64_t(1) << 62;
+constexpr uint32_t kMaxRevision = uint32_t(1) << 30;
 
 std::string
 Encode(const membership::Gossip& aGossip);
--- a/src/membership/Gossip.cpp
+++ b/src/membership/Gossip.cpp
@@ -21,6 +21,14 @@
 
 } // namespace
 
+size_t
+WireSizeBound(const MemberRecord& aRecord)
+{
+  // Tags, three 64-bit numbers at most, three ports, flags and length.
+  constexpr size_t kFixedFields = 56;
+  return kFixedFields + aRecord.mMember.mName.size();
+}
+
 bool
 Supersedes(const MemberRecord& aLeft, const MemberRecord& aRight)
 {
--- a/src/net/PeerCodec.cpp
+++ b/src/net/PeerCodec.cpp
@@ -77,6 +77,15 @@
   return static_cast<uint16_t>(aPort);
 }
 
+uint64_t
+CheckIncarnation(uint64_t aIncarnation, std::string_view aWhat)
+{
+  if (aIncarnation == 0 || aIncarnation > kMaxIncarnation) {
+    throw PeerError(703, aWhat, "zero or beyond the limit");
+  }
+  return aIncarnation;
+}
+
 uint32_t
 CheckIp(uint32_t aIp)
 {
@@ -123,6 +132,9 @@
     member.mDomain = CheckName(aInfo.domain(), "member.domain");
   }
   member.mIncarnation = aInfo.incarnation();
+  if (member.mIncarnation != 0) {
+    CheckIncarnation(member.mIncarnation, "member.incarnation");
+  }
   member.mState = CheckState(aInfo.state());
   const uint32_t ip = CheckIp(aInfo.ip());
   member.mHandoffAddress = {
@@ -140,9 +152,7 @@
 TakeBalancer(const wire::MemberInfo& aInfo)
 {
   Member member = Take(aInfo, Region::Required);
-  if (member.mIncarnation == 0) {
-    throw PeerError(703, "member.incarnation", "zero");
-  }
+  CheckIncarnation(member.mIncarnation, "member.incarnation");
   return member;
 }
 
@@ -155,6 +165,7 @@
   aOut.set_agent_incarnation(aRecord.mAgentIncarnation);
   aOut.set_revision(aRecord.mRevision);
   aOut.set_leaving(aRecord.mLeaving);
+  aOut.set_balancer_absent(aRecord.mBalancerAbsent);
 }
 
 MemberRecord
@@ -165,15 +176,14 @@
   if (record.mMember.mState == MemberState::Leaving) {
     throw PeerError(704, "member.state", "leaving is a flag in gossip");
   }
-  record.mAgentIncarnation = aInfo.agent_incarnation();
-  if (record.mAgentIncarnation == 0) {
-    throw PeerError(703, "member.agent_incarnation", "zero");
-  }
+  record.mAgentIncarnation =
+    CheckIncarnation(aInfo.agent_incarnation(), "member.agent_incarnation");
   record.mRevision = aInfo.revision();
-  if (record.mRevision == 0) {
-    throw PeerError(711, "member.revision", "zero");
+  if (record.mRevision == 0 || record.mRevision > kMaxRevision) {
+    throw PeerError(711, "member.revision", "zero or beyond the limit");
   }
   record.mLeaving = aInfo.leaving();
+  record.mBalancerAbsent = aInfo.balancer_absent();
   return record;
 }
 
@@ -427,12 +437,9 @@
 {
   const auto message =
     Parse<wire::FlowRecords>(aBytes, kMaxFlowRecordsSize, "flow records");
-  if (message.sender() == 0) {
-    throw PeerError(703, "sender", "zero");
-  }
   CheckCount(message.records_size(), kMaxLoads, "records");
   FlowRecords records;
-  records.mSender = message.sender();
+  records.mSender = CheckIncarnation(message.sender(), "sender");
   std::set<uint32_t> seen;
   size_t fingerprints = 0;
   for (const wire::UpstreamRecords& it : message.records()) {
--- /dev/null
+++ b/tests/unit/DetectorTest.cpp
@@ -0,0 +1,455 @@
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+#include "InMemoryFleet.h"
+
+using namespace foxtail;
+using namespace foxtail::membership;
+using namespace foxtail::tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+using Vm = InMemoryFleet::Vm;
+using Process = InMemoryFleet::Process;
+
+constexpr size_t kVms = 7;
+
+bool
+IsUp(const Vm& aVm)
+{
+  return aVm.mAgent == Process::Runs && aVm.mBalancer == Process::Runs;
+}
+
+// True when every agent that runs sees exactly the VMs that are there.
+bool
+AllSee(const InMemoryFleet& aFleet,
+       std::vector<Vm>& aVms,
+       const std::function<bool(const Vm&)>& aIsThere)
+{
+  const std::vector<std::string> expected = aFleet.Expect(aIsThere);
+  for (size_t i = 0; i < aVms.size(); ++i) {
+    if (aVms[i].mAgent == Process::Runs && aFleet.Names(i) != expected) {
+      return false;
+    }
+  }
+  return true;
+}
+
+bool
+AllSeeWhatIsUp(InMemoryFleet& aFleet)
+{
+  return AllSee(aFleet, aFleet.Vms(), IsUp);
+}
+
+size_t
+InDoubt(InMemoryFleet& aFleet)
+{
+  size_t count = 0;
+  for (size_t i = 0; i < aFleet.Vms().size(); ++i) {
+    count += aFleet.At(i).mAgent == Process::Runs && aFleet.ViewOf(i).mInDoubt;
+  }
+  return count;
+}
+
+PublishedVms
+Without(PublishedVms aList, size_t aFirst, size_t aCount)
+{
+  const auto it = aList.mVms.begin() + static_cast<long>(aFirst);
+  aList.mVms.erase(it, it + static_cast<long>(aCount));
+  return aList;
+}
+
+} // namespace
+
+TEST_CASE("Views follow what happens to VMs", "[membership]")
+{
+  using Change = void (*)(InMemoryFleet&);
+  struct Row
+  {
+    const char* mName;
+    Change mChange;
+    // Until every view shows it.
+    milliseconds mLimit;
+  };
+  const Row row = GENERATE(values<Row>({
+    { "kill", [](InMemoryFleet& f) { f.Kill(3); }, 3s },
+    { "kill two at once",
+      [](InMemoryFleet& f) {
+        f.Kill(3);
+        f.Kill(5);
+      },
+      4s },
+    { "freeze a VM", [](InMemoryFleet& f) { f.Freeze(3); }, 3s },
+    { "freeze a balancer beside a living agent",
+      [](InMemoryFleet& f) { f.At(3).mBalancer = Process::Frozen; },
+      3s },
+    { "restart a balancer",
+      [](InMemoryFleet& f) { f.At(3).mIncarnation += 1000; },
+      1s },
+    { "restart a VM", [](InMemoryFleet& f) { f.Start(3); }, 3s },
+    { "planned leave",
+      [](InMemoryFleet& f) { f.At(3).mBalancerLeaves = true; },
+      1s },
+    { "planned stop of a VM",
+      [](InMemoryFleet& f) {
+        f.Feed(f.At(3), Stopped{});
+        f.Kill(3);
+      },
+      1s },
+    { "start a VM that was away",
+      [](InMemoryFleet& f) {
+        f.Kill(3);
+        f.Run(10s);
+        f.Start(3);
+      },
+      3s },
+  }));
+  const uint64_t seed = GENERATE(range(1, 6));
+  InMemoryFleet fleet(kVms, seed);
+  fleet.StartAll();
+  REQUIRE(AllSeeWhatIsUp(fleet));
+  REQUIRE(InDoubt(fleet) == 0);
+
+  INFO(row.mName << ", seed " << seed);
+  row.mChange(fleet);
+  const Duration took =
+    fleet.RunUntil([&] { return AllSeeWhatIsUp(fleet); }, row.mLimit + 1s);
+  CHECK(took <= row.mLimit);
+  fleet.Run(20s);
+  CHECK(AllSeeWhatIsUp(fleet));
+  CHECK(InDoubt(fleet) == 0);
+}
+
+TEST_CASE("An agent that restarts alone keeps its balancer in all views",
+          "[membership]")
+{
+  InMemoryFleet fleet(kVms);
+  fleet.StartAll();
+  fleet.StartAgent(3);
+  const std::vector<std::string> expected = fleet.Expect(IsUp);
+  for (int i = 0; i < 60; ++i) {
+    fleet.Run(InMemoryFleet::kStep);
+    CHECK(fleet.Names(0) == expected);
+  }
+  CHECK(AllSeeWhatIsUp(fleet));
+}
+
+TEST_CASE("Domains cut from each other keep their own half and heal",
+          "[membership]")
+{
+  const uint64_t seed = GENERATE(range(1, 6));
+  InMemoryFleet fleet(kVms, seed);
+  fleet.StartAll();
+  const std::vector<std::string> before = fleet.Names(0);
+  fleet.Cut([](const Vm& v) { return v.mDomain == 0 ? 0 : 1; });
+  fleet.Run(6s);
+  size_t minority = 0;
+  for (size_t i = 0; i < kVms; ++i) {
+    const size_t domain = fleet.At(i).mDomain;
+    CHECK(fleet.Names(i) == fleet.Expect([&](const Vm& v) {
+      return (v.mDomain == 0) == (domain == 0);
+    }));
+    CHECK(fleet.ViewOf(i).mInDoubt == (domain == 0));
+    minority += domain == 0 ? 1 : 0;
+  }
+  CHECK(minority == 3);
+
+  SECTION("healed: the same incarnations, nobody in doubt")
+  {
+    fleet.Run(60s);
+    fleet.Heal();
+    fleet.Run(5s);
+    CHECK(AllSeeWhatIsUp(fleet));
+    CHECK(fleet.Names(0) == before);
+    CHECK(InDoubt(fleet) == 0);
+  }
+  SECTION("a VM dies in each half before it heals")
+  {
+    fleet.Kill(0);
+    fleet.Kill(1);
+    fleet.Run(6s);
+    fleet.Heal();
+    fleet.Run(8s);
+    CHECK(AllSeeWhatIsUp(fleet));
+  }
+}
+
+TEST_CASE("A process that wakes late doubts first and confuses nobody",
+          "[membership]")
+{
+  InMemoryFleet fleet(kVms);
+  fleet.StartAll();
+  const Incarnation old = fleet.At(3).mIncarnation;
+  const auto seesOld = [&] {
+    bool found = false;
+    for (size_t i = 0; i < kVms; ++i) {
+      found |= i != 3 && fleet.ViewOf(i).FindIncarnation(old) != nullptr;
+    }
+    return found;
+  };
+
+  SECTION("whole VM, a minute")
+  {
+    fleet.Freeze(3);
+    fleet.Run(60s);
+    fleet.Kill(5);
+    fleet.Run(5s);
+    CHECK_FALSE(seesOld());
+    fleet.Wake(3);
+    fleet.Run(InMemoryFleet::kStep);
+    CHECK(fleet.ViewOf(3).mInDoubt);
+    // It does not take those for dead whom it could not hear.
+    CHECK(fleet.ViewOf(3).mMembers.size() >= kVms - 2);
+    for (int i = 0; i < 100; ++i) {
+      fleet.Run(InMemoryFleet::kStep);
+      CHECK_FALSE(seesOld());
+    }
+    CHECK(fleet.At(3).mIncarnation > old);
+    CHECK(AllSeeWhatIsUp(fleet));
+    CHECK(InDoubt(fleet) == 0);
+  }
+  SECTION("balancer alone")
+  {
+    fleet.At(3).mBalancer = Process::Frozen;
+    fleet.Run(10s);
+    CHECK_FALSE(seesOld());
+    // Its agent restarts meanwhile and still knows the withdrawn incarnation.
+    fleet.StartAgent(3);
+    fleet.Run(3s);
+    fleet.At(3).mBalancer = Process::Runs;
+    for (int i = 0; i < 100; ++i) {
+      fleet.Run(InMemoryFleet::kStep);
+      CHECK_FALSE(seesOld());
+    }
+    CHECK(AllSeeWhatIsUp(fleet));
+  }
+  SECTION("a pause shorter than anybody noticed changes nothing")
+  {
+    fleet.Freeze(3);
+    fleet.Run(1200ms);
+    fleet.Wake(3);
+    fleet.Run(InMemoryFleet::kStep);
+    CHECK(fleet.ViewOf(3).mInDoubt);
+    fleet.Run(5s);
+    CHECK(fleet.At(3).mIncarnation == old);
+    CHECK(AllSeeWhatIsUp(fleet));
+    CHECK(InDoubt(fleet) == 0);
+  }
+}
+
+TEST_CASE("The published list permits and removes, but never empties",
+          "[membership]")
+{
+  InMemoryFleet fleet(kVms);
+  const PublishedVms full = fleet.FullList(5);
+  fleet.Publish(full);
+
+  SECTION("a VM that is not published is refused")
+  {
+    fleet.Publish(Without(fleet.FullList(6), 6, 1));
+    // It was published to nobody that runs, so nobody ever permits it.
+    fleet.StartAll();
+    CHECK(fleet.Names(0) ==
+          fleet.Expect([](const Vm& v) { return v.mName != "vm-1006"; }));
+    CHECK(fleet.At(0).mRefused + fleet.At(1).mRefused > 0);
+  }
+  SECTION("a list that lags: heard of once it is published")
+  {
+    fleet.Publish(Without(fleet.FullList(6), 6, 1));
+    fleet.StartAll();
+    fleet.Publish(fleet.FullList(7));
+    fleet.Run(4s);
+    CHECK(AllSeeWhatIsUp(fleet));
+  }
+  SECTION("published as leaving")
+  {
+    fleet.StartAll();
+    PublishedVms list = fleet.FullList(6);
+    list.mVms[2].mLeaving = true;
+    fleet.Publish(list);
+    CHECK(fleet.ViewOf(0).Find("vm-1002")->mState == MemberState::Leaving);
+    CHECK(fleet.ViewOf(2).Find("vm-1002")->mState == MemberState::Leaving);
+  }
+  SECTION("missing from fresh lists: dropped after a while, though it lives")
+  {
+    fleet.StartAll();
+    fleet.Publish(Without(fleet.FullList(6), 6, 1));
+    fleet.Run(25s);
+    CHECK(fleet.ViewOf(0).Find("vm-1006") != nullptr);
+    fleet.Run(20s);
+    CHECK(fleet.ViewOf(0).Find("vm-1006") == nullptr);
+  }
+  SECTION("lists that must not be believed")
+  {
+    const auto list = GENERATE_COPY(table<const char*, PublishedVms>({
+      { "empty", PublishedVms{ 6, {} } },
+      { "shrunken", Without(full, 2, 5) },
+      { "stale", Without(PublishedVms{ 4, full.mVms }, 3, 1) },
+      { "stale and empty", PublishedVms{ 1, {} } },
+    }));
+    INFO(std::get<0>(list));
+    fleet.StartAll();
+    PublishedVms offered = std::get<1>(list);
+    if (offered.mIndex == full.mIndex) {
+      offered.mIndex += 1;
+    }
+    fleet.Publish(offered);
+    fleet.Run(120s);
+    CHECK(AllSeeWhatIsUp(fleet));
+    CHECK(InDoubt(fleet) == 0);
+  }
+  SECTION("a name that moves to another VM")
+  {
+    fleet.StartAll();
+    PublishedVms list = fleet.FullList(6);
+    list.mVms[6].mIp += 100;
+    fleet.Publish(list);
+    CHECK(fleet.ViewOf(0).Find("vm-1006") == nullptr);
+    fleet.Run(5s);
+    CHECK(fleet.ViewOf(0).Find("vm-1006") == nullptr);
+  }
+  SECTION("no list at all: alone and in doubt")
+  {
+    InMemoryFleet lonely(2);
+    lonely.Publish(PublishedVms{ 0, {} });
+    lonely.StartAll();
+    CHECK(lonely.ViewOf(0).mMembers.size() == 1);
+    CHECK(InDoubt(lonely) == 2);
+  }
+}
+
+TEST_CASE("Lossy links cause no lasting error", "[membership]")
+{
+  const double loss = GENERATE(0.05, 0.2);
+  const uint64_t seed = GENERATE(range(1, 4));
+  InMemoryFleet fleet(kVms, seed);
+  fleet.Lose(loss);
+  fleet.StartAll(15s);
+  INFO("loss " << loss << ", seed " << seed);
+  SECTION("a kill is still seen")
+  {
+    fleet.Kill(2);
+    CHECK(fleet.RunUntil([&] { return AllSeeWhatIsUp(fleet); }, 20s) < 20s);
+  }
+  SECTION("living members stay but for moments")
+  {
+    size_t missing = 0;
+    size_t looked = 0;
+    for (int i = 0; i < 1200; ++i) {
+      fleet.Run(InMemoryFleet::kStep);
+      for (size_t v = 0; v < kVms; ++v) {
+        missing += kVms - fleet.Names(v).size();
+        looked += kVms;
+      }
+    }
+    CHECK(missing * 1000 < looked);
+    CHECK(fleet.RunUntil([&] { return AllSeeWhatIsUp(fleet); }, 20s) < 20s);
+  }
+}
+
+namespace {
+
+// The naive partner: everyone sends a heartbeat to everyone each half second,
+// and whoever was not heard for three seconds is not in the view.
+class AllToAll
+{
+public:
+  explicit AllToAll(InMemoryFleet& aFleet)
+    : mFleet(aFleet)
+    , mHeard(kVms)
+  {
+  }
+
+  void Beat(const std::function<int(const Vm&)>& aSide)
+  {
+    for (size_t to = 0; to < kVms; ++to) {
+      for (size_t from = 0; from < kVms; ++from) {
+        const Vm& sender = mFleet.At(from);
+        if (IsUp(sender) && IsUp(mFleet.At(to)) &&
+            aSide(sender) == aSide(mFleet.At(to))) {
+          mHeard[to][from] = { mFleet.Now(), sender.mIncarnation };
+        }
+      }
+    }
+  }
+
+  std::vector<std::string> Names(size_t aVm)
+  {
+    std::vector<std::string> names;
+    for (const auto& [from, heard] : mHeard[aVm]) {
+      if (mFleet.Now() - heard.first <= 3s) {
+        names.push_back(absl::StrCat(mFleet.At(from).mName, "@", heard.second));
+      }
+    }
+    return names;
+  }
+
+private:
+  InMemoryFleet& mFleet;
+  std::vector<std::map<size_t, std::pair<TimePoint, Incarnation>>> mHeard;
+};
+
+} // namespace
+
+TEST_CASE("Final views equal those of all-to-all heartbeats", "[membership]")
+{
+  const uint64_t seed = GENERATE(range(1, 21));
+  INFO("seed " << seed);
+  std::mt19937_64 random(seed);
+  InMemoryFleet fleet(kVms, seed);
+  AllToAll naive(fleet);
+  std::function<int(const Vm&)> side = [](const Vm&) { return 0; };
+  fleet.StartAll();
+
+  for (int change = 0; change < 12; ++change) {
+    const size_t vm = random() % kVms;
+    switch (random() % 5) {
+      case 0:
+        fleet.Kill(vm);
+        break;
+      case 1:
+        fleet.Start(vm);
+        break;
+      case 2:
+        fleet.At(vm).mAgent == Process::Runs ? fleet.Freeze(vm) : void();
+        break;
+      case 3: {
+        const size_t domain = random() % InMemoryFleet::kDomains;
+        side = [=](const Vm& v) { return v.mDomain == domain ? 0 : 1; };
+        break;
+      }
+      default:
+        side = [](const Vm&) { return 0; };
+        for (size_t i = 0; i < kVms; ++i) {
+          fleet.At(i).mAgent == Process::Frozen ? fleet.Wake(i) : void();
+        }
+        break;
+    }
+    fleet.Cut(side);
+    fleet.Run(milliseconds(random() % 6000));
+  }
+  for (int i = 0; i < 40; ++i) {
+    fleet.Run(500ms);
+    naive.Beat(side);
+  }
+  for (size_t i = 0; i < kVms; ++i) {
+    if (IsUp(fleet.At(i))) {
+      CHECK(fleet.Names(i) == naive.Names(i));
+    }
+  }
+}
+
+TEST_CASE("News of a configuration reach every agent", "[membership]")
+{
+  InMemoryFleet fleet(kVms);
+  fleet.StartAll();
+  fleet.Feed(fleet.At(0), ConfigChanged{ { 7, 42, 9 } });
+  const auto allHeard = [&] {
+    return std::all_of(fleet.Vms().begin() + 1,
+                       fleet.Vms().end(),
+                       [](const Vm& v) { return v.mHeardOfNewerConfig; });
+  };
+  CHECK(fleet.RunUntil(allHeard, 8s) < 8s);
+}
