Count what membership sends at 7, 70 and 720 members

Cause: the account of control traffic needs a slope. After: the view is rebuilt once a tick and the queue stays sorted.

--- /dev/null
+++ b/benchmarks/MembershipBenchmark.cpp
@@ -0,0 +1,119 @@
+#include <benchmark/benchmark.h>
+
+#include "InMemoryFleet.h"
+
+// What membership costs one VM. The argument is the number of VMs; rates are
+// per VM and second of the fleet's own time, IP and UDP headers included.
+
+using namespace foxtail;
+using namespace foxtail::tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct Totals
+{
+  double mMessages = 0;
+  double mBytes = 0;
+};
+
+Totals
+Count(InMemoryFleet& aFleet)
+{
+  Totals totals;
+  for (const InMemoryFleet::Vm& it : aFleet.Vms()) {
+    totals.mMessages += static_cast<double>(it.mSentMessages);
+    totals.mBytes += static_cast<double>(it.mSentBytes + it.mReceivedBytes);
+  }
+  return totals;
+}
+
+// VMs of which at least one view does not know, or which it should not show.
+bool
+AllSee(InMemoryFleet& aFleet, size_t aMembers)
+{
+  for (size_t i = 0; i < aFleet.Vms().size(); ++i) {
+    const bool runs = aFleet.At(i).mAgent == InMemoryFleet::Process::Runs;
+    if (runs && aFleet.ViewOf(i).mMembers.size() != aMembers) {
+      return false;
+    }
+  }
+  return true;
+}
+
+double
+Seconds(Duration aTime)
+{
+  return std::chrono::duration<double>(aTime).count();
+}
+
+// Sent and received together during aTime.
+void
+Report(benchmark::State& aState,
+       const std::string& aName,
+       const Totals& aBefore,
+       const Totals& aAfter,
+       Duration aTime)
+{
+  const double share = static_cast<double>(aState.range(0)) * Seconds(aTime);
+  aState.counters[aName + "_sent_msgs_per_s"] =
+    (aAfter.mMessages - aBefore.mMessages) / share;
+  aState.counters[aName + "_bytes_per_s"] =
+    (aAfter.mBytes - aBefore.mBytes) / share;
+}
+
+void
+MembershipTraffic(benchmark::State& aState)
+{
+  const size_t vms = aState.range(0);
+  for (auto it : aState) {
+    InMemoryFleet fleet(vms);
+    for (size_t i = 0; i < vms; ++i) {
+      fleet.Start(i);
+    }
+    Totals before = Count(fleet);
+    const TimePoint start = fleet.Now();
+    const Duration join =
+      fleet.RunUntil([&] { return AllSee(fleet, vms); }, 120s);
+    aState.counters["cold_start_s"] = Seconds(join);
+    Report(aState, "cold_start", before, Count(fleet), fleet.Now() - start);
+
+    // Until the news of the start have been passed on often enough.
+    fleet.Run(120s);
+    before = Count(fleet);
+    fleet.Run(60s);
+    Report(aState, "idle", before, Count(fleet), 60s);
+
+    before = Count(fleet);
+    fleet.Kill(1);
+    aState.counters["kill_seen_s"] =
+      Seconds(fleet.RunUntil([&] { return AllSee(fleet, vms - 1); }, 60s));
+    fleet.Run(10s);
+    Report(aState, "after_kill", before, Count(fleet), 10s);
+  }
+}
+BENCHMARK(MembershipTraffic)
+  ->Arg(7)
+  ->Arg(70)
+  ->Arg(720)
+  ->Iterations(1)
+  ->Unit(benchmark::kMillisecond);
+
+// Processor time of one VM at rest: one step of 50 ms of the whole fleet,
+// divided by the VMs.
+void
+MembershipStep(benchmark::State& aState)
+{
+  const size_t vms = aState.range(0);
+  InMemoryFleet fleet(vms);
+  fleet.StartAll(150s);
+  for (auto it : aState) {
+    fleet.Run(1s);
+  }
+  aState.counters["core_share_per_vm"] = benchmark::Counter(
+    static_cast<double>(vms * aState.iterations()),
+    benchmark::Counter::kIsRate | benchmark::Counter::kInvert);
+}
+BENCHMARK(MembershipStep)->Arg(7)->Arg(70)->Unit(benchmark::kMillisecond);
+
+} // namespace
--- a/include/foxtail/membership/UpdateQueue.h
+++ b/include/foxtail/membership/UpdateQueue.h
@@ -4,7 +4,9 @@
 #include <cstddef>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "foxtail/membership/Gossip.h"
@@ -34,6 +36,8 @@
 private:
   // Times sent, by name.
   std::map<std::string, int> mSends;
+  // The same, the least sent first.
+  std::set<std::pair<int, std::string>> mOrder;
 };
 
 } // namespace foxtail::membership
--- a/src/membership/Detector.cpp
+++ b/src/membership/Detector.cpp
@@ -104,7 +104,10 @@
   if (mPhase == Phase::Live) {
     PushStep(aNow);
   }
-  PublishView();
+  // Gossip comes in batches; the tick that follows shows what it changed.
+  if (!std::holds_alternative<GossipReceived>(aEvent)) {
+    PublishView();
+  }
   return std::move(mActions);
 }
 
--- a/src/membership/UpdateQueue.cpp
+++ b/src/membership/UpdateQueue.cpp
@@ -1,20 +1,23 @@
 #include "foxtail/membership/UpdateQueue.h"
 
-#include <algorithm>
-#include <utility>
-
 namespace foxtail::membership {
 
 void
 UpdateQueue::Add(const std::string& aName)
 {
+  Remove(aName);
   mSends[aName] = 0;
+  mOrder.emplace(0, aName);
 }
 
 void
 UpdateQueue::Remove(const std::string& aName)
 {
-  mSends.erase(aName);
+  const auto it = mSends.find(aName);
+  if (it != mSends.end()) {
+    mOrder.erase({ it->second, aName });
+    mSends.erase(it);
+  }
 }
 
 std::vector<MemberRecord>
@@ -23,30 +26,27 @@
   int aMaxSends,
   const std::function<const MemberRecord*(const std::string&)>& aFind)
 {
-  std::vector<std::pair<int, std::string>> order;
-  order.reserve(mSends.size());
-  for (const auto& [name, sends] : mSends) {
-    order.emplace_back(sends, name);
-  }
-  std::sort(order.begin(), order.end());
-
   std::vector<MemberRecord> records;
+  std::vector<std::pair<int, std::string>> taken;
   size_t bytes = 0;
-  for (const auto& [sends, name] : order) {
+  while (!mOrder.empty()) {
+    const auto& [sends, name] = *mOrder.begin();
     const MemberRecord* record = aFind(name);
-    if (record == nullptr) {
-      mSends.erase(name);
-      continue;
-    }
-    bytes += WireSizeBound(*record);
-    if (bytes > aMaxBytes) {
-      break;
+    if (record != nullptr) {
+      bytes += WireSizeBound(*record);
+      if (bytes > aMaxBytes) {
+        break;
+      }
+      records.push_back(*record);
+      taken.emplace_back(sends + 1, name);
     }
-    records.push_back(*record);
-    if (sends + 1 >= aMaxSends) {
-      mSends.erase(name);
-    } else {
-      mSends[name] = sends + 1;
+    mSends.erase(name);
+    mOrder.erase(mOrder.begin());
+  }
+  for (const auto& [sends, name] : taken) {
+    if (sends < aMaxSends) {
+      mSends[name] = sends;
+      mOrder.emplace(sends, name);
     }
   }
   return records;
--- a/tests/unit/DetectorTest.cpp
+++ b/tests/unit/DetectorTest.cpp
@@ -225,6 +225,18 @@
     }
     CHECK(AllSeeWhatIsUp(fleet));
   }
+  SECTION("balancer alone, at the moment that its agent starts anew")
+  {
+    fleet.At(3).mBalancer = Process::Frozen;
+    fleet.Run(10s);
+    fleet.At(3).mBalancer = Process::Runs;
+    fleet.StartAgent(3);
+    for (int i = 0; i < 100; ++i) {
+      fleet.Run(InMemoryFleet::kStep);
+      CHECK_FALSE(seesOld());
+    }
+    CHECK(AllSeeWhatIsUp(fleet));
+  }
   SECTION("a pause shorter than anybody noticed changes nothing")
   {
     fleet.Freeze(3);
