Announce anew when an incarnation is found to have been withdrawn

Cause: an agent that heard late of its former life dropped the balancer but went on naming it in its statement.

--- a/src/membership/Detector.cpp
+++ b/src/membership/Detector.cpp
@@ -180,6 +180,9 @@
       aRecord.mAgentIncarnation != mSelf.mAgentIncarnation) {
     // Withdrawn in another life of this agent.
     mBalancer.RaiseFloor(aRecord.mMember.mIncarnation);
+    if (HasBalancer(mSelf) && !mBalancer.Current()) {
+      Announce();
+    }
   }
   if (aRecord.mAgentIncarnation > mSelf.mAgentIncarnation) {
     // The clock went back between two lives.
--- a/tests/unit/DetectorTest.cpp
+++ b/tests/unit/DetectorTest.cpp
@@ -125,14 +125,19 @@
 TEST_CASE("An agent that restarts alone keeps its balancer in all views",
           "[membership]")
 {
-  InMemoryFleet fleet(kVms);
+  const uint64_t seed = GENERATE(range(1, 11));
+  InMemoryFleet fleet(kVms, seed);
   fleet.StartAll();
   fleet.StartAgent(3);
   const std::vector<std::string> expected = fleet.Expect(IsUp);
+  size_t shown = 0;
   for (int i = 0; i < 60; ++i) {
     fleet.Run(InMemoryFleet::kStep);
-    CHECK(fleet.Names(0) == expected);
+    for (size_t v = 0; v < kVms; ++v) {
+      shown += v == 3 || fleet.Names(v) == expected ? 1 : 0;
+    }
   }
+  CHECK(shown == 60 * kVms);
   CHECK(AllSeeWhatIsUp(fleet));
 }
 
