--- /dev/null
+++ b/src/config/PatchTransaction.cpp
@@ -0,0 +1,256 @@
+#include "config/PatchTransaction.h"
+
+#include <algorithm>
+
+#include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+
+#include "foxtail/core/Error.h"
+
+namespace foxtail::config {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int kMalformedPatch = 220;
+constexpr int kOperationFailed = 221;
+constexpr size_t kMaxOperations = 10000;
+// Values that one patch may copy or move. Copies of copies would otherwise
+// grow without bound.
+constexpr size_t kMaxCopiedValues = 200000;
+
+size_t
+CountValues(const json& aValue)
+{
+  size_t n = 1;
+  if (aValue.is_structured()) {
+    for (const json& it : aValue) {
+      n += CountValues(it);
+    }
+  }
+  return n;
+}
+
+std::vector<std::string>
+Elements(json::json_pointer aPath)
+{
+  std::vector<std::string> elements;
+  while (!aPath.empty()) {
+    elements.push_back(aPath.back());
+    aPath.pop_back();
+  }
+  std::reverse(elements.begin(), elements.end());
+  return elements;
+}
+
+json
+Operation(const char* aName, const json::json_pointer& aPath)
+{
+  return { { "op", aName }, { "path", aPath.to_string() } };
+}
+
+json
+Operation(const char* aName,
+          const json::json_pointer& aPath,
+          const json& aValue)
+{
+  return { { "op", aName },
+           { "path", aPath.to_string() },
+           { "value", aValue } };
+}
+
+json::json_pointer
+PathOf(const json& aOperation, const char* aKey)
+{
+  return json::json_pointer(aOperation.at(aKey).get<std::string>());
+}
+
+// The library would move a value into what takes its place.
+void
+RequireOutside(const json::json_pointer& aFrom, const json::json_pointer& aPath)
+{
+  if (absl::StartsWith(aPath.to_string(), aFrom.to_string() + "/")) {
+    throw ConfigError(kMalformedPatch,
+                      aPath.to_string(),
+                      "a value cannot be moved into itself; correct the path");
+  }
+}
+
+} // namespace
+
+PatchTransaction::PatchTransaction(json& aDocument, size_t aServices)
+  : mDocument(aDocument)
+  , mOrigins(aServices)
+{
+  for (size_t it = 0; it < aServices; ++it) {
+    mOrigins[it] = it;
+  }
+}
+
+void
+PatchTransaction::Apply(const json& aOperations)
+{
+  if (!aOperations.is_array() || aOperations.size() > kMaxOperations) {
+    throw ConfigError(kMalformedPatch,
+                      "/patch",
+                      absl::StrCat("expected a list of at most ",
+                                   kMaxOperations,
+                                   " RFC 6902 operations"));
+  }
+  size_t index = 0;
+  for (const json& it : aOperations) {
+    const std::string where = absl::StrCat("/patch/", index++);
+    try {
+      ApplyOne(it);
+    } catch (const json::parse_error& e) {
+      throw ConfigError(
+        kMalformedPatch,
+        where,
+        absl::StrCat("expected an RFC 6902 operation; ", e.what()));
+    } catch (const json::exception& e) {
+      throw ConfigError(
+        kOperationFailed,
+        where,
+        absl::StrCat("the operation does not fit the document, check its "
+                     "path against the version it is written for; ",
+                     e.what()));
+    }
+  }
+}
+
+void
+PatchTransaction::Revert()
+{
+  for (auto it = mUndo.rbegin(); it != mUndo.rend(); ++it) {
+    Run(*it);
+  }
+  mUndo.clear();
+}
+
+void
+PatchTransaction::ApplyOne(const json& aOperation)
+{
+  const std::string name = aOperation.at("op").get<std::string>();
+  const Pointer path = PathOf(aOperation, "path");
+  if (name == "add") {
+    Add(path, aOperation.at("value"));
+  } else if (name == "remove") {
+    Remove(path);
+  } else if (name == "replace") {
+    Replace(path, aOperation.at("value"));
+  } else if (name == "copy") {
+    Add(path, Copied(PathOf(aOperation, "from")));
+  } else if (name == "move") {
+    const Pointer from = PathOf(aOperation, "from");
+    RequireOutside(from, path);
+    const json value = Copied(from);
+    Remove(from);
+    Add(path, value);
+  } else {
+    // A test, or what the library refuses.
+    Run(aOperation);
+  }
+}
+
+void
+PatchTransaction::Add(const Pointer& aPath, const json& aValue)
+{
+  if (aPath.empty()) {
+    Replace(aPath, aValue);
+    return;
+  }
+  const Pointer path = Resolve(aPath);
+  const json& parent = mDocument.at(path.parent_pointer());
+  const bool replaces = parent.is_object() && parent.contains(path.back());
+  const json undo = replaces ? Operation("replace", path, parent[path.back()])
+                             : Operation("remove", path);
+  Run(Operation("add", path, aValue));
+  mUndo.push_back(undo);
+  Touch(path, replaces ? Change::Replace : Change::Add);
+}
+
+void
+PatchTransaction::Remove(const Pointer& aPath)
+{
+  const json undo = Operation("add", aPath, mDocument.at(aPath));
+  Run(Operation("remove", aPath));
+  mUndo.push_back(undo);
+  Touch(aPath, Change::Remove);
+}
+
+void
+PatchTransaction::Replace(const Pointer& aPath, const json& aValue)
+{
+  const json undo = Operation("replace", aPath, mDocument.at(aPath));
+  Run(Operation("replace", aPath, aValue));
+  mUndo.push_back(undo);
+  Touch(aPath, Change::Replace);
+}
+
+json
+PatchTransaction::Copied(const Pointer& aPath)
+{
+  const json& value = mDocument.at(aPath);
+  mCopiedValues += CountValues(value);
+  if (mCopiedValues > kMaxCopiedValues) {
+    throw ConfigError(kMalformedPatch,
+                      aPath.to_string(),
+                      absl::StrCat("copies and moves of a patch may take at "
+                                   "most ",
+                                   kMaxCopiedValues,
+                                   " values; split the patch"));
+  }
+  return value;
+}
+
+PatchTransaction::Pointer
+PatchTransaction::Resolve(const Pointer& aPath) const
+{
+  const json& parent = mDocument.at(aPath.parent_pointer());
+  // The library takes an addition to a plain value without a word.
+  if (!parent.is_structured()) {
+    throw ConfigError(kOperationFailed,
+                      aPath.to_string(),
+                      "the parent is neither an object nor an array; correct "
+                      "the path");
+  }
+  return parent.is_array() && aPath.back() == "-"
+           ? aPath.parent_pointer() / parent.size()
+           : aPath;
+}
+
+void
+PatchTransaction::Touch(const Pointer& aPath, Change aChange)
+{
+  const std::vector<std::string> elements = Elements(aPath);
+  if (elements.empty() || (elements.size() == 1 && elements[0] == "services")) {
+    mTouchesAll = true;
+  }
+  if (mTouchesAll || elements[0] != "services") {
+    return;
+  }
+  // The operation has succeeded, so the element is an index in range.
+  size_t index = 0;
+  if (!absl::SimpleAtoi(elements[1], &index)) {
+    mTouchesAll = true;
+    return;
+  }
+  const auto at = mOrigins.begin() + static_cast<ptrdiff_t>(index);
+  if (elements.size() > 2 || aChange == Change::Replace) {
+    *at = std::nullopt;
+  } else if (aChange == Change::Add) {
+    mOrigins.insert(at, std::nullopt);
+  } else {
+    mOrigins.erase(at);
+  }
+}
+
+void
+PatchTransaction::Run(const json& aOperation)
+{
+  mDocument.patch_inplace(json::array({ aOperation }));
+}
+
+} // namespace foxtail::config
