--- /dev/null
+++ b/benchmarks/ConfigBenchmark.cpp
@@ -0,0 +1,150 @@
+#include <benchmark/benchmark.h>
+
+#include "../tests/unit/Sample.h"
+#include "foxtail/config/Chain.h"
+
+using namespace foxtail::config;
+using nlohmann::json;
+
+namespace {
+
+// Upstreams of a service at the size to design for: 6,160 for 770 services.
+constexpr size_t kUpstreamsPerService = 8;
+
+json
+DocumentOf(int64_t aServices)
+{
+  return foxtail::test::MakeDocument(static_cast<size_t>(aServices),
+                                     kUpstreamsPerService);
+}
+
+Chain
+ChainOf(int64_t aServices)
+{
+  Chain chain;
+  chain.Offer(Base{ { { 1, 1 }, 0 }, DocumentOf(aServices) });
+  return chain;
+}
+
+// A patch that drains one upstream.
+json
+Drain(uint64_t aAgainst, size_t aService, bool aDraining)
+{
+  const std::string path =
+    absl::StrCat("/services/", aService, "/upstreams/0/draining");
+  return {
+    { "against", aAgainst },
+    { "patch",
+      { { { "op", "add" }, { "path", path }, { "value", aDraining } } } }
+  };
+}
+
+// The next published patch, alternately draining and undraining.
+PatchList
+NextPatch(const Chain& aChain, size_t aService)
+{
+  const uint64_t number = aChain.Point().mVersion.mNumber;
+  return { aChain.Point().mPosition,
+           { Drain(number, aService, number % 2 == 1) } };
+}
+
+// One published patch: applied, checked, digested, snapshot made.
+void
+BM_PatchFromPlatform(benchmark::State& aState)
+{
+  Chain chain = ChainOf(aState.range(0));
+  const auto last = static_cast<size_t>(aState.range(0)) - 1;
+  for (auto unused : aState) {
+    benchmark::DoNotOptimize(chain.Offer(NextPatch(chain, last)));
+  }
+}
+
+// The same from a peer, which takes a trial copy.
+void
+BM_PatchFromPeer(benchmark::State& aState)
+{
+  Chain chain = ChainOf(aState.range(0));
+  Chain peer = chain;
+  for (auto unused : aState) {
+    aState.PauseTiming();
+    peer.Offer(NextPatch(peer, 0));
+    const ChainAnswer answer = peer.Answer(chain.Point());
+    aState.ResumeTiming();
+    benchmark::DoNotOptimize(chain.Offer(answer));
+  }
+}
+
+// A patch that moves all services, the dearest kind.
+void
+BM_PatchOfAllServices(benchmark::State& aState)
+{
+  Chain chain = ChainOf(aState.range(0));
+  const json all = DocumentOf(aState.range(0))["services"];
+  for (auto unused : aState) {
+    const ChainPoint& point = chain.Point();
+    const json operation = { { "op", "replace" },
+                             { "path", "/services" },
+                             { "value", all } };
+    const json entry = { { "against", point.mVersion.mNumber },
+                         { "patch", { operation } } };
+    benchmark::DoNotOptimize(
+      chain.Offer(PatchList{ point.mPosition, { entry } }));
+  }
+}
+
+// The naive way to one patch: copy, patch, check all.
+void
+BM_PatchNaive(benchmark::State& aState)
+{
+  const json document = DocumentOf(aState.range(0));
+  const json patch = Drain(1, 0, true)["patch"];
+  for (auto unused : aState) {
+    benchmark::DoNotOptimize(ParseDocument(document.patch(patch), {}));
+  }
+}
+
+// A restarted VM: base and a day of patches.
+void
+BM_BaseAndDayOfPatches(benchmark::State& aState)
+{
+  constexpr uint64_t kChangesPerDay = 2500;
+  const Base base{ { { 1, 1 }, 0 }, DocumentOf(aState.range(0)) };
+  PatchList patches;
+  for (uint64_t it = 0; it < kChangesPerDay; ++it) {
+    patches.mEntries.push_back(
+      Drain(it + 1, it % static_cast<size_t>(aState.range(0)), true));
+  }
+  for (auto unused : aState) {
+    Chain chain;
+    chain.Offer(base);
+    benchmark::DoNotOptimize(chain.Offer(patches));
+  }
+}
+
+// Reading a whole document from text.
+void
+BM_ParseDocument(benchmark::State& aState)
+{
+  const std::string text = DocumentOf(aState.range(0)).dump();
+  for (auto unused : aState) {
+    benchmark::DoNotOptimize(ParseDocumentText(text, {}));
+  }
+  aState.counters["bytes"] = static_cast<double>(text.size());
+}
+
+} // namespace
+
+BENCHMARK(BM_PatchFromPlatform)
+  ->Arg(2)
+  ->Arg(77)
+  ->Arg(770)
+  ->Unit(benchmark::kMicrosecond);
+BENCHMARK(BM_PatchFromPeer)->Arg(2)->Arg(770)->Unit(benchmark::kMicrosecond);
+BENCHMARK(BM_PatchOfAllServices)->Arg(770)->Unit(benchmark::kMicrosecond);
+BENCHMARK(BM_PatchNaive)->Arg(770)->Unit(benchmark::kMicrosecond);
+BENCHMARK(BM_BaseAndDayOfPatches)->Arg(770)->Unit(benchmark::kMillisecond);
+BENCHMARK(BM_ParseDocument)
+  ->Arg(2)
+  ->Arg(77)
+  ->Arg(770)
+  ->Unit(benchmark::kMicrosecond);
--- a/tests/unit/ChainTest.cpp
+++ b/tests/unit/ChainTest.cpp
@@ -484,6 +484,14 @@
   CHECK(behind.Point() == chain.Point());
 }
 
+TEST_CASE("A peer with another history gets no patches", "[chain]")
+{
+  const ChainPoint other{ { 2, 0xbad }, 1 };
+  const ChainAnswer answer = ChainAfter(3).Answer(other);
+  CHECK(answer.mPatches.empty());
+  CHECK_FALSE(answer.mDocument.empty());
+}
+
 TEST_CASE("A digest is 16 lower-case hexadecimal digits", "[chain]")
 {
   CHECK(DigestText(0xf1) == "00000000000000f1");
