--- a/benchmarks/ConfigBenchmark.cpp
+++ b/benchmarks/ConfigBenchmark.cpp
@@ -50,7 +50,7 @@
 
 // One published patch: applied, checked, digested, snapshot made.
 void
-BM_PatchFromPlatform(benchmark::State& aState)
+PatchFromPlatform(benchmark::State& aState)
 {
   Chain chain = ChainOf(aState.range(0));
   const auto last = static_cast<size_t>(aState.range(0)) - 1;
@@ -61,7 +61,7 @@
 
 // The same from a peer, which takes a trial copy.
 void
-BM_PatchFromPeer(benchmark::State& aState)
+PatchFromPeer(benchmark::State& aState)
 {
   Chain chain = ChainOf(aState.range(0));
   Chain peer = chain;
@@ -76,7 +76,7 @@
 
 // A patch that moves all services, the dearest kind.
 void
-BM_PatchOfAllServices(benchmark::State& aState)
+PatchOfAllServices(benchmark::State& aState)
 {
   Chain chain = ChainOf(aState.range(0));
   const json all = DocumentOf(aState.range(0))["services"];
@@ -94,7 +94,7 @@
 
 // The naive way to one patch: copy, patch, check all.
 void
-BM_PatchNaive(benchmark::State& aState)
+PatchNaive(benchmark::State& aState)
 {
   const json document = DocumentOf(aState.range(0));
   const json patch = Drain(1, 0, true)["patch"];
@@ -105,7 +105,7 @@
 
 // A restarted VM: base and a day of patches.
 void
-BM_BaseAndDayOfPatches(benchmark::State& aState)
+BaseAndDayOfPatches(benchmark::State& aState)
 {
   constexpr uint64_t kChangesPerDay = 2500;
   const Base base{ { { 1, 1 }, 0 }, DocumentOf(aState.range(0)) };
@@ -123,7 +123,7 @@
 
 // Reading a whole document from text.
 void
-BM_ParseDocument(benchmark::State& aState)
+ParseDocument(benchmark::State& aState)
 {
   const std::string text = DocumentOf(aState.range(0)).dump();
   for (auto unused : aState) {
@@ -134,16 +134,16 @@
 
 } // namespace
 
-BENCHMARK(BM_PatchFromPlatform)
+BENCHMARK(PatchFromPlatform)
   ->Arg(2)
   ->Arg(77)
   ->Arg(770)
   ->Unit(benchmark::kMicrosecond);
-BENCHMARK(BM_PatchFromPeer)->Arg(2)->Arg(770)->Unit(benchmark::kMicrosecond);
-BENCHMARK(BM_PatchOfAllServices)->Arg(770)->Unit(benchmark::kMicrosecond);
-BENCHMARK(BM_PatchNaive)->Arg(770)->Unit(benchmark::kMicrosecond);
-BENCHMARK(BM_BaseAndDayOfPatches)->Arg(770)->Unit(benchmark::kMillisecond);
-BENCHMARK(BM_ParseDocument)
+BENCHMARK(PatchFromPeer)->Arg(2)->Arg(770)->Unit(benchmark::kMicrosecond);
+BENCHMARK(PatchOfAllServices)->Arg(770)->Unit(benchmark::kMicrosecond);
+BENCHMARK(PatchNaive)->Arg(770)->Unit(benchmark::kMicrosecond);
+BENCHMARK(BaseAndDayOfPatches)->Arg(770)->Unit(benchmark::kMillisecond);
+BENCHMARK(ParseDocument)
   ->Arg(2)
   ->Arg(77)
   ->Arg(770)
