--- /dev/null
+++ b/src/daemon/Process.cpp
@@ -0,0 +1,54 @@
+#include "foxtail/daemon/Process.h"
+
+#include <atomic>
+#include <csignal>
+
+#include <sys/resource.h>
+#include <unistd.h>
+
+namespace foxtail::daemon {
+
+namespace {
+
+std::atomic<int> gStopSignals{ 0 };
+static_assert(std::atomic<int>::is_always_lock_free,
+              "a signal handler may use it");
+
+void
+OnStopSignal(int /*aSignal*/)
+{
+  if (++gStopSignals > 1) {
+    _exit(1);
+  }
+}
+
+} // namespace
+
+void
+RaiseDescriptorLimit()
+{
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
+    limit.rlim_cur = limit.rlim_max;
+    setrlimit(RLIMIT_NOFILE, &limit);
+  }
+}
+
+void
+InstallStopSignals()
+{
+  struct sigaction action = {};
+  action.sa_handler = OnStopSignal;
+  sigemptyset(&action.sa_mask);
+  sigaction(SIGTERM, &action, nullptr);
+  sigaction(SIGINT, &action, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+}
+
+bool
+StopRequested()
+{
+  return gStopSignals > 0;
+}
+
+} // namespace foxtail::daemon
