--- /dev/null
+++ b/tests/standins/UdpSocket.h
@@ -0,0 +1,44 @@
+#ifndef foxtail_standins_UdpSocket_h
+#define foxtail_standins_UdpSocket_h
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "foxtail/core/Address.h"
+
+namespace foxtail::standins {
+
+// A bound, non-blocking UDP socket.
+class UdpSocket
+{
+public:
+  // Port zero takes any free port. Throws NetError 602 when the address
+  // cannot be bound.
+  explicit UdpSocket(const Address& aLocal);
+  ~UdpSocket();
+  UdpSocket(const UdpSocket&) = delete;
+  UdpSocket& operator=(const UdpSocket&) = delete;
+
+  int Fd() const { return mFd; }
+  const Address& Local() const { return mLocal; }
+
+  // The next datagram, valid until the next call; empty when none waits.
+  std::optional<std::string_view> Receive(Address& aFrom);
+
+  // A datagram that cannot be sent is lost, as on a network.
+  void Send(const Address& aTo, std::string_view aBytes);
+
+private:
+  int mFd;
+  Address mLocal;
+  std::string mBuffer;
+};
+
+// Lets the process open as many sockets as its hard limit allows.
+void
+RaiseFileLimit();
+
+} // namespace foxtail::standins
+
+#endif
