--- /dev/null
+++ b/tests/standins/CallerMain.cpp
@@ -0,0 +1,278 @@
+// Sends lookups, postings and downloads as many callers and checks what comes
+// back.
+
+#include <fstream>
+#include <iostream>
+#include <unordered_set>
+
+#include "Flow.h"
+#include "absl/flags/flag.h"
+#include "absl/flags/parse.h"
+#include "absl/flags/usage.h"
+#include "foxtail/core/Error.h"
+
+ABSL_FLAG(std::string, settings, "", "JSON file with the settings");
+ABSL_FLAG(int, ack_timeout_ms, 0, "overrides ack_timeout_ms when above zero");
+
+namespace foxtail::standins {
+namespace {
+
+// Arrivals a second, multiplied at the crests.
+struct Rates
+{
+  ServiceTarget mTarget;
+  std::array<double, kKinds> mPerSecond{};
+  size_t mLongFlows = 0;
+};
+
+struct Crests
+{
+  milliseconds mPeriod{ 10'000 };
+  milliseconds mLength{ 0 };
+  double mFactor = 1;
+};
+
+struct LoadSettings
+{
+  std::vector<uint32_t> mLocalIps;
+  milliseconds mDuration{ 10'000 };
+  // Longest wait for outstanding answers after the last arrival.
+  milliseconds mSettle{ 20'000 };
+  // Share of short requests sent on long flows.
+  double mLongShare = 0.3;
+  Crests mCrests;
+  std::vector<Rates> mServices;
+  std::string mReport;
+};
+
+CallerSettings
+ReadCaller(const Json& aJson)
+{
+  CallerSettings settings;
+  settings.mSeed = aJson.value("seed", settings.mSeed);
+  const int flag = absl::GetFlag(FLAGS_ack_timeout_ms);
+  settings.mAckTimeout = milliseconds(
+    flag > 0 ? flag
+             : aJson.value("ack_timeout_ms", settings.mAckTimeout.count()));
+  settings.mAnswerTimeout = milliseconds(
+    aJson.value("answer_timeout_ms", settings.mAnswerTimeout.count()));
+  if (aJson.contains("deadline_ms")) {
+    settings.mDeadline = milliseconds(aJson["deadline_ms"].get<int>());
+  }
+  settings.mDownloadBytes =
+    aJson.value("download_bytes", settings.mDownloadBytes);
+  settings.mBlockPause =
+    milliseconds(aJson.value("block_pause_ms", settings.mBlockPause.count()));
+  settings.mBlockRetries = aJson.value("block_retries", settings.mBlockRetries);
+  return settings;
+}
+
+Rates
+ReadRates(const Json& aJson)
+{
+  Rates rates;
+  rates.mTarget = { aJson.at("name"),
+                    Address::Parse(aJson.at("address").get<std::string>()) };
+  rates.mPerSecond = { aJson.value("lookups_per_s", 0.0),
+                       aJson.value("postings_per_s", 0.0),
+                       aJson.value("downloads_per_s", 0.0) };
+  rates.mLongFlows = aJson.value("long_flows", 0U);
+  return rates;
+}
+
+LoadSettings
+ReadLoad(const Json& aJson)
+{
+  LoadSettings settings;
+  for (const auto& ip : aJson.at("local_ips")) {
+    settings.mLocalIps.push_back(
+      Address::Parse(ip.get<std::string>() + ":0").mIp);
+  }
+  settings.mDuration =
+    milliseconds(aJson.value("duration_ms", settings.mDuration.count()));
+  settings.mSettle =
+    milliseconds(aJson.value("settle_ms", settings.mSettle.count()));
+  settings.mLongShare = aJson.value("long_share", settings.mLongShare);
+  const Json crests = aJson.value("crests", Json::object());
+  settings.mCrests.mPeriod =
+    milliseconds(crests.value("period_ms", settings.mCrests.mPeriod.count()));
+  settings.mCrests.mLength =
+    milliseconds(crests.value("length_ms", settings.mCrests.mLength.count()));
+  settings.mCrests.mFactor = crests.value("factor", 1.0);
+  for (const auto& service : aJson.at("services")) {
+    settings.mServices.push_back(ReadRates(service));
+  }
+  settings.mReport = aJson.at("report");
+  return settings;
+}
+
+// Open-loop arrivals: they do not wait for answers.
+class Load
+{
+public:
+  Load(EventLoop& aLoop, const Json& aSettings)
+    : mLoop(aLoop)
+    , mCaller(ReadCaller(aSettings))
+    , mSettings(ReadLoad(aSettings))
+    , mRandom(mCaller.mSeed)
+    , mStarted(std::chrono::steady_clock::now())
+  {
+    for (const Rates& rates : mSettings.mServices) {
+      AddLongFlows(rates);
+      for (size_t kind = 0; kind < kKinds; ++kind) {
+        ScheduleArrival(rates, static_cast<Kind>(kind));
+      }
+    }
+    mLoop.After(mSettings.mDuration + mSettings.mSettle,
+                [this] { mLoop.Stop(); });
+  }
+
+  // Ends what is outstanding and writes the report.
+  void Finish()
+  {
+    mFinished = true;
+    // Flows leave the set as they end.
+    const auto flows = mFlows;
+    for (const auto& flow : flows) {
+      flow->GiveUp();
+    }
+    std::ofstream(mSettings.mReport) << mReport.ToJson().dump(1) << '\n';
+  }
+
+private:
+  using FlowPtr = std::shared_ptr<Flow>;
+
+  bool ArrivalsEnded() const
+  {
+    return std::chrono::steady_clock::now() - mStarted >= mSettings.mDuration;
+  }
+
+  void AddLongFlows(const Rates& aRates)
+  {
+    auto& flows = mLongFlows[aRates.mTarget.mName];
+    for (size_t i = 0; i < aRates.mLongFlows; ++i) {
+      flows.push_back(NewFlow(aRates.mTarget, true));
+    }
+  }
+
+  FlowPtr NewFlow(const ServiceTarget& aTarget, bool aLong)
+  {
+    const uint32_t ip =
+      mSettings.mLocalIps[mSerial % mSettings.mLocalIps.size()];
+    auto flow = std::make_shared<Flow>(
+      mLoop, mReport, mCaller, aTarget, Address{ ip, 0 }, ++mSerial);
+    flow->Open([this, aLong](const FlowPtr& aFlow) {
+      if (!aLong && !mFinished) {
+        Retire(aFlow);
+      }
+      EndWhenDone();
+    });
+    mFlows.insert(flow);
+    return flow;
+  }
+
+  // Keeps the port a little, so that late answers are seen.
+  void Retire(const FlowPtr& aFlow)
+  {
+    constexpr milliseconds kLinger{ 500 };
+    mFlows.erase(aFlow);
+    mLoop.After(kLinger, [aFlow] {});
+  }
+
+  void EndWhenDone()
+  {
+    if (!ArrivalsEnded()) {
+      return;
+    }
+    for (const auto& flow : mFlows) {
+      if (!flow->IsIdle()) {
+        return;
+      }
+    }
+    mLoop.Stop();
+  }
+
+  double CrestFactor() const
+  {
+    const Duration since = std::chrono::steady_clock::now() - mStarted;
+    const bool crest =
+      since % Duration(mSettings.mCrests.mPeriod) < mSettings.mCrests.mLength;
+    return crest ? mSettings.mCrests.mFactor : 1;
+  }
+
+  void ScheduleArrival(const Rates& aRates, Kind aKind)
+  {
+    const double rate =
+      aRates.mPerSecond[static_cast<size_t>(aKind)] * CrestFactor();
+    if (rate <= 0) {
+      return;
+    }
+    std::exponential_distribution<> gap(rate);
+    const std::chrono::duration<double> wait(gap(mRandom));
+    mLoop.After(std::chrono::duration_cast<Duration>(wait),
+                [this, &aRates, aKind] {
+                  if (ArrivalsEnded()) {
+                    EndWhenDone();
+                    return;
+                  }
+                  Arrive(aRates, aKind);
+                  ScheduleArrival(aRates, aKind);
+                });
+  }
+
+  void Arrive(const Rates& aRates, Kind aKind)
+  {
+    std::uniform_real_distribution<> unit(0, 1);
+    const auto& longFlows = mLongFlows[aRates.mTarget.mName];
+    const bool useLong = aKind != Kind::Download && !longFlows.empty() &&
+                         unit(mRandom) < mSettings.mLongShare;
+    if (useLong) {
+      const FlowPtr& flow = longFlows[mRandom() % longFlows.size()];
+      if (flow->IsIdle()) {
+        flow->Ask(aKind);
+        return;
+      }
+    }
+    NewFlow(aRates.mTarget, false)->Ask(aKind);
+  }
+
+  EventLoop& mLoop;
+  CallerSettings mCaller;
+  LoadSettings mSettings;
+  CallerReport mReport;
+  std::mt19937_64 mRandom;
+  TimePoint mStarted;
+  uint64_t mSerial = 0;
+  bool mFinished = false;
+  std::map<std::string, std::vector<FlowPtr>> mLongFlows;
+  std::unordered_set<FlowPtr> mFlows;
+};
+
+} // namespace
+} // namespace foxtail::standins
+
+int
+main(int argc, char** argv)
+{
+  using namespace foxtail::standins;
+  absl::SetProgramUsageMessage(
+    "Sends requests as many callers and reports what came back.\n"
+    "Settings: report (file), seed, local_ips, duration_ms, settle_ms,\n"
+    "long_share, crests {period_ms, length_ms, factor}, ack_timeout_ms,\n"
+    "answer_timeout_ms, deadline_ms, download_bytes, block_pause_ms,\n"
+    "block_retries, services [{name, address, lookups_per_s,\n"
+    "postings_per_s, downloads_per_s, long_flows}].");
+  absl::ParseCommandLine(argc, argv);
+  try {
+    RaiseFileLimit();
+    EventLoop loop;
+    loop.StopOnSignals();
+    Load load(loop, ReadJsonFile(absl::GetFlag(FLAGS_settings)));
+    loop.Run();
+    load.Finish();
+  } catch (const std::exception& e) {
+    std::cerr << e.what() << '\n';
+    return 2;
+  }
+  return 0;
+}
--- /dev/null
+++ b/tests/standins/Flow.h
@@ -0,0 +1,123 @@
+#ifndef foxtail_standins_Flow_h
+#define foxtail_standins_Flow_h
+
+#include <deque>
+#include <memory>
+#include <random>
+#include <set>
+
+#include "CallerReport.h"
+#include "CoapOptions.h"
+#include "EventLoop.h"
+#include "UdpSocket.h"
+
+namespace foxtail::standins {
+
+// How callers send: RFC 7252 section 4.8, and what they ask for.
+struct CallerSettings
+{
+  milliseconds mAckTimeout{ 2000 };
+  double mAckRandomFactor = 1.5;
+  int mMaxRetransmit = 4;
+  // How long an acknowledged request waits for its answer.
+  milliseconds mAnswerTimeout{ 30'000 };
+  // Sent as the deadline option when it is set.
+  std::optional<milliseconds> mDeadline;
+  size_t mDownloadBytes = 100 * 1024;
+  // Pause between the blocks of a download.
+  milliseconds mBlockPause{ 0 };
+  // Times that a refused or failed block is asked for again.
+  int mBlockRetries = 5;
+  uint32_t mSeed = 1;
+};
+
+struct ServiceTarget
+{
+  std::string mName;
+  Address mAddress;
+};
+
+// One caller's socket and the requests it sends to one service, one after the
+// other.
+class Flow : public std::enable_shared_from_this<Flow>
+{
+public:
+  using IdleCallback = std::function<void(const std::shared_ptr<Flow>&)>;
+
+  Flow(EventLoop& aLoop,
+       CallerReport& aReport,
+       const CallerSettings& aSettings,
+       const ServiceTarget& aService,
+       const Address& aLocal,
+       uint64_t aSerial);
+  ~Flow();
+  Flow(const Flow&) = delete;
+  Flow& operator=(const Flow&) = delete;
+
+  // Starts to listen; aOnIdle is called each time nothing is left to ask.
+  void Open(IdleCallback aOnIdle);
+  void Ask(Kind aKind);
+  bool IsIdle() const { return !mCurrent; }
+  // Ends the outstanding request without an answer.
+  void GiveUp();
+
+private:
+  // The request that is outstanding.
+  struct Exchange
+  {
+    CallerReport::Request mRequest;
+    uint64_t mSerial = 0;
+    std::string mPath;
+    std::string mPairs;
+    std::string mEcho;
+    TimePoint mStarted;
+    // Of the message that is on its way now.
+    coap::Token mToken;
+    uint16_t mMessageId = 0;
+    std::string mDatagram;
+    int mRetransmissions = 0;
+    bool mAcknowledged = false;
+    // Of a download.
+    uint32_t mBlock = 0;
+    int mBlockRetries = 0;
+  };
+
+  void Begin(Kind aKind);
+  void SendMessage();
+  std::string Encode();
+  void AddDeadline(Options& aOptions) const;
+  void Retransmit(uint64_t aSerial, Duration aTimeout);
+  // Runs aStep after aDelay unless the message has been answered by then.
+  void AfterWhileWaiting(Duration aDelay, std::function<void()> aStep);
+  void Receive();
+  void OnMessage(const coap::Message& aMessage);
+  void OnEmpty(const coap::Message& aMessage);
+  void OnAnswer(const coap::Message& aMessage);
+  void OnContent(const coap::Message& aMessage);
+  void OnBlock(const coap::Message& aMessage);
+  void OnFailure(const coap::Message& aMessage, Outcome aOutcome);
+  bool IsOwnContent(std::string_view aPayload) const;
+  bool IsOwnBlock(const coap::Message& aMessage) const;
+  void NoteUpstream(const std::string& aUpstream);
+  void End(Outcome aOutcome, const std::string& aDetail);
+
+  EventLoop& mLoop;
+  CallerReport& mReport;
+  const CallerSettings& mSettings;
+  ServiceTarget mService;
+  UdpSocket mSocket;
+  std::string mName;
+  std::mt19937_64 mRandom;
+  IdleCallback mOnIdle;
+  uint64_t mSerial = 0;
+  uint64_t mRequests = 0;
+  uint16_t mNextMessageId;
+  std::string mUpstream;
+  std::set<uint64_t> mPastTokens;
+  std::deque<Kind> mWaiting;
+  std::unique_ptr<Exchange> mCurrent;
+};
+
+} // namespace foxtail::standins
+
+#endif
