--- a/tests/standins/CallerReport.cpp
+++ b/tests/standins/CallerReport.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "Clock.h"
+
 namespace foxtail::standins {
 
 namespace {
@@ -41,13 +43,6 @@
   return kNames[static_cast<size_t>(aOutcome)];
 }
 
-int64_t
-WallMilliseconds()
-{
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  return std::chrono::duration_cast<milliseconds>(now).count();
-}
-
 void
 CallerReport::Ended(const Request& aRequest, Outcome aOutcome)
 {
@@ -90,7 +85,8 @@
                      { "service", aRequest.mService },
                      { "from", aFrom },
                      { "to", aRequest.mUpstream },
-                     { "sent_ms", aRequest.mSentAt } });
+                     { "sent_ms", aRequest.mSentAt },
+                     { "ended_ms", WallMilliseconds() } });
 }
 
 void
--- a/tests/standins/CallerReport.h
+++ b/tests/standins/CallerReport.h
@@ -43,10 +43,6 @@
 const char*
 OutcomeName(Outcome aOutcome);
 
-// Milliseconds since the Unix epoch.
-int64_t
-WallMilliseconds();
-
 // What callers asked and what they were told.
 class CallerReport
 {
--- a/tests/standins/Endpoint.cpp
+++ b/tests/standins/Endpoint.cpp
@@ -1,5 +1,6 @@
 #include "Endpoint.h"
 
+#include "Clock.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
@@ -22,13 +23,6 @@
 constexpr uint8_t kLargestBlockExponent = 6;
 constexpr char kDownloadPrefix[] = "download/";
 
-int64_t
-WallMilliseconds()
-{
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  return std::chrono::duration_cast<milliseconds>(now).count();
-}
-
 // The value of "key=value" in text whose pairs are parted by ';'.
 std::string
 FindPair(std::string_view aText, const std::string& aKey)
--- a/tests/standins/Flow.cpp
+++ b/tests/standins/Flow.cpp
@@ -1,5 +1,6 @@
 #include "Flow.h"
 
+#include "Clock.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
