--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -167,6 +167,9 @@
     "$CLUSTER_DIR/values/vms" | value_publish vms
 }
 
+# See standin-platform --help.
+platform_fault() { post "$(layout .platform.admin)/fault" "$1" >/dev/null; }
+
 # --- Fabric -----------------------------------------------------------------
 
 fabric_cut() { post "$(layout .fabric.admin)/cut" "$1" >/dev/null; }
@@ -267,6 +270,31 @@
 vm_pause() { vm_signal "$1" STOP; }
 vm_resume() { vm_signal "$1" CONT; }
 
+# The configuration version that a VM's balancer has in force, as NUMBER/DIGEST.
+vm_version() {
+  local address
+  address=$(layout ".vms[] | select(.name == \"$1\").address")
+  curl -fsS -m 5 "http://$address:$(layout '.vm_settings[0].ports.balancer_http')/status" |
+    jq -r '"\(.config.number)/\(.config.digest)"'
+}
+
+# Waits until every running VM has version NUMBER with one digest; an accepted
+# configuration is in force within seconds, so the wait is 20 s at most. Fails
+# at once when a VM is beyond it.
+versions_reach() {
+  [ "${FOXTAIL_RELAY:-}" = naive ] && return
+  local i name seen
+  for ((i = 0; i < 40; ++i)); do
+    seen=$(for name in $(vm_names); do
+      [ -n "${CLUSTER_PIDS[balancer-$name]:-}" ] && vm_version "$name"
+    done | sort -u)
+    [[ $seen != *$'\n'* && $seen == "$1"/* ]] && return
+    sleep 0.5
+  done
+  echo "versions in force: $seen, wanted $1" >&2
+  return 1
+}
+
 cluster_start() {
   local name
   for name in $(vm_names); do
--- /dev/null
+++ b/tests/process/freeze.sh
@@ -0,0 +1,16 @@
+#!/usr/bin/env bash
+# Two VMs freeze, one shortly and one until it is long given up, and wake with
+# an old view, old requests and an old configuration.
+source "$(dirname "$0")/common.sh"
+scenario_open "$OVERLOAD"
+load_start 11000
+sleep 2
+vm_pause agadir-a-3
+vm_pause taroudant-2
+sleep 1
+vm_resume agadir-a-3
+upstream_drain ledger-4 1
+sleep 5
+vm_resume taroudant-2
+load_wait
+cluster_check --min_whole_share=0.4
--- /dev/null
+++ b/tests/process/platform_outage.sh
@@ -0,0 +1,22 @@
+#!/usr/bin/env bash
+# The platform is down, then stale, then back, while two operators race: one
+# patch is accepted, the same everywhere, and nothing reverts.
+source "$(dirname "$0")/common.sh"
+scenario_open
+load_start 14000
+sleep 2
+upstream_drain ledger-5 1
+expect "version 2 is in force everywhere" versions_reach 2
+platform_fault '{"down": true}'
+patch_publish 2 "[{\"op\": \"replace\", \"path\": \"$(upstream_pointer ledger-6)/draining\", \"value\": true}]"
+patch_publish 2 "[{\"op\": \"replace\", \"path\": \"$(upstream_pointer ledger-7)/draining\", \"value\": true}]"
+sleep 2
+platform_fault '{"down": false, "stale": true}'
+sleep 2
+expect "no version is lost while the platform is stale" versions_reach 2
+platform_fault '{"stale": false}'
+expect "version 3 is in force everywhere" versions_reach 3
+CLUSTER_LEAVING+=("ledger-6@$(now_ms)")
+load_wait
+expect "the same version 3 everywhere" versions_reach 3
+cluster_check --min_whole_share=0.9 --max_unanswered=0 --max_unknown=0
--- /dev/null
+++ b/tests/process/restart_while_stale.sh
@@ -0,0 +1,22 @@
+#!/usr/bin/env bash
+# VMs restart, one as planned and one after a kill, while the platform shows
+# an old configuration: they must learn the newer one from their peers.
+source "$(dirname "$0")/common.sh"
+scenario_open
+load_start 12000
+sleep 1
+platform_fault '{"hold": true}'
+platform_fault '{"hold": false}'
+upstream_drain ledger-5 1
+expect "version 2 is in force everywhere" versions_reach 2
+platform_fault '{"stale": true}'
+expect "agadir-b-2 stops gracefully" vm_stop agadir-b-2
+vm_start agadir-b-2
+vm_wait agadir-b-2
+vm_kill taroudant-1
+vm_start taroudant-1
+vm_wait taroudant-1
+expect "the restarted VMs have version 2" versions_reach 2
+load_wait
+expect "version 2 is still in force" versions_reach 2
+cluster_check --min_whole_share=0.7
--- /dev/null
+++ b/tests/process/two_balancers_killed.sh
@@ -0,0 +1,14 @@
+#!/usr/bin/env bash
+# Two balancers of different domains are killed at the same moment, so that a
+# flow's owner and its backup may both be gone.
+source "$(dirname "$0")/common.sh"
+# Flows whose owner and backup are gone at once may lose their upstream.
+readonly MAX_BROKEN_FLOWS=40
+scenario_open "$OVERLOAD"
+load_start 9000
+sleep 3
+vm_kill agadir-a-2
+vm_kill taroudant-1
+vm_lost agadir-a-2 taroudant-1
+load_wait
+cluster_check --min_whole_share=0.5 --max_broken_flows="$MAX_BROKEN_FLOWS"
--- a/tests/standins/CallerMain.cpp
+++ b/tests/standins/CallerMain.cpp
@@ -35,6 +35,8 @@
 struct LoadSettings
 {
   std::vector<uint32_t> mLocalIps;
+  // Ports of each address that flows use again and again; zero for any.
+  uint16_t mPortsPerIp = 0;
   milliseconds mDuration{ 10'000 };
   // Longest wait for outstanding answers after the last arrival.
   milliseconds mSettle{ 20'000 };
@@ -88,6 +90,7 @@
     settings.mLocalIps.push_back(
       Address::Parse(ip.get<std::string>() + ":0").mIp);
   }
+  settings.mPortsPerIp = aJson.value("ports_per_ip", settings.mPortsPerIp);
   settings.mDuration =
     milliseconds(aJson.value("duration_ms", settings.mDuration.count()));
   settings.mSettle =
@@ -157,10 +160,7 @@
 
   FlowPtr NewFlow(const ServiceTarget& aTarget, bool aLong)
   {
-    const uint32_t ip =
-      mSettings.mLocalIps[mSerial % mSettings.mLocalIps.size()];
-    auto flow = std::make_shared<Flow>(
-      mLoop, mReport, mCaller, aTarget, Address{ ip, 0 }, ++mSerial);
+    FlowPtr flow = BindFlow(aTarget);
     flow->Open([this, aLong](const FlowPtr& aFlow) {
       if (!aLong && !mFinished) {
         Retire(aFlow);
@@ -171,12 +171,45 @@
     return flow;
   }
 
+  FlowPtr BindFlow(const ServiceTarget& aTarget)
+  {
+    constexpr int kMaxTries = 100;
+    for (int i = 0;; ++i) {
+      const Address local = NextLocal();
+      const auto first = mNextMessageIds.find(local);
+      const auto id = first != mNextMessageIds.end()
+                        ? first->second
+                        : static_cast<uint16_t>(mRandom());
+      try {
+        return std::make_shared<Flow>(
+          mLoop, mReport, mCaller, aTarget, local, id, mSerial);
+      } catch (const NetError&) {
+        // The port is still in use.
+        if (i == kMaxTries) {
+          throw;
+        }
+      }
+    }
+  }
+
+  Address NextLocal()
+  {
+    constexpr uint16_t kFirstPort = 20000;
+    const auto& ips = mSettings.mLocalIps;
+    const uint64_t n = ++mSerial;
+    const uint16_t pool = mSettings.mPortsPerIp;
+    const auto port =
+      static_cast<uint16_t>(pool == 0 ? 0 : kFirstPort + n / ips.size() % pool);
+    return Address{ ips[n % ips.size()], port };
+  }
+
   // Keeps the port a little, so that late answers are seen.
   void Retire(const FlowPtr& aFlow)
   {
-    constexpr milliseconds kLinger{ 500 };
+    const milliseconds linger(mSettings.mPortsPerIp == 0 ? 500 : 0);
+    mNextMessageIds[aFlow->Local()] = aFlow->NextMessageId();
     mFlows.erase(aFlow);
-    mLoop.After(kLinger, [aFlow] {});
+    mLoop.After(linger, [aFlow] {});
   }
 
   void EndWhenDone()
@@ -245,6 +278,7 @@
   uint64_t mSerial = 0;
   bool mFinished = false;
   std::map<std::string, std::vector<FlowPtr>> mLongFlows;
+  std::map<Address, uint16_t> mNextMessageIds;
   std::unordered_set<FlowPtr> mFlows;
 };
 
@@ -257,8 +291,9 @@
   using namespace foxtail::standins;
   absl::SetProgramUsageMessage(
     "Sends requests as many callers and reports what came back.\n"
-    "Settings: report (file), seed, local_ips, duration_ms, settle_ms,\n"
-    "long_share, crests {period_ms, length_ms, factor}, ack_timeout_ms,\n"
+    "Settings: report (file), seed, local_ips, ports_per_ip, duration_ms,\n"
+    "settle_ms, long_share, crests {period_ms, length_ms, factor}, "
+    "ack_timeout_ms,\n"
     "answer_timeout_ms, deadline_ms, download_bytes, block_pause_ms,\n"
     "block_retries, services [{name, address, lookups_per_s,\n"
     "postings_per_s, downloads_per_s, long_flows}].");
--- a/tests/standins/Flow.cpp
+++ b/tests/standins/Flow.cpp
@@ -41,6 +41,7 @@
            const CallerSettings& aSettings,
            const ServiceTarget& aService,
            const Address& aLocal,
+           uint16_t aFirstMessageId,
            uint64_t aSerial)
   : mLoop(aLoop)
   , mReport(aReport)
@@ -49,7 +50,7 @@
   , mSocket(aLocal)
   , mName(absl::StrCat(aSettings.mSeed, "-", aSerial))
   , mRandom(aSettings.mSeed * 0x9E3779B97F4A7C15ULL + aSerial)
-  , mNextMessageId(static_cast<uint16_t>(mRandom()))
+  , mNextMessageId(aFirstMessageId)
 {
 }
 
--- a/tests/standins/Flow.h
+++ b/tests/standins/Flow.h
@@ -23,7 +23,7 @@
   milliseconds mAnswerTimeout{ 30'000 };
   // Sent as the deadline option when it is set.
   std::optional<milliseconds> mDeadline;
-  size_t mDownloadBytes = 100 * 1024;
+  size_t mDownloadBytes = 100'000;
   // Pause between the blocks of a download.
   milliseconds mBlockPause{ 0 };
   // Times that a refused or failed block is asked for again.
@@ -49,6 +49,7 @@
        const CallerSettings& aSettings,
        const ServiceTarget& aService,
        const Address& aLocal,
+       uint16_t aFirstMessageId,
        uint64_t aSerial);
   ~Flow();
   Flow(const Flow&) = delete;
@@ -58,6 +59,9 @@
   void Open(IdleCallback aOnIdle);
   void Ask(Kind aKind);
   bool IsIdle() const { return !mCurrent; }
+  const Address& Local() const { return mSocket.Local(); }
+  // For the next flow on this address: ids may not come again so soon.
+  uint16_t NextMessageId() const { return mNextMessageId; }
   // Ends the outstanding request without an answer.
   void GiveUp();
 
