--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -142,14 +142,14 @@
 # Publishes standard input under a name; readers see the old or the new value.
 value_publish() {
   cat >"$CLUSTER_DIR/$1.new"
-  mv "$CLUSTER_DIR/$1.new" "$CLUSTER_DIR/values/$1"
+  mv "$CLUSTER_DIR/$1.new" "$CLUSTER_DIR/values/$1.json"
 }
 
 # patch_publish AGAINST OPERATIONS: appends one patch to the published list.
 patch_publish() {
   jq --argjson against "$1" --argjson patch "$2" \
     '.patches += [{against: $against, patch: $patch}]' \
-    "$CLUSTER_DIR/values/config.patches" | value_publish config.patches
+    "$CLUSTER_DIR/values/config.patches.json" | value_publish config.patches
 }
 
 # The JSON pointer of an upstream in the configuration that was published first.
@@ -164,11 +164,11 @@
   jq --arg name "$1" --arg state "$2" \
     '.vms |= (map(if .name == $name then .state = $state else . end)
               | map(select(.state != "gone")))' \
-    "$CLUSTER_DIR/values/vms" | value_publish vms
+    "$CLUSTER_DIR/values/vms.json" | value_publish vms
 }
 
-# See standin-platform --help.
-platform_fault() { post "$(layout .platform.admin)/fault" "$1" >/dev/null; }
+# platform_fault ok|down|stale|back|truncate; see standin-platform --help.
+platform_fault() { post "$(layout .platform.admin)/fault?mode=$1" '' >/dev/null; }
 
 # --- Fabric -----------------------------------------------------------------
 
--- a/tests/process/common.sh
+++ b/tests/process/common.sh
@@ -37,3 +37,17 @@
     vm_state "$name" gone
   done
 }
+
+# A planned replacement: the platform lists the VM as leaving, the fabric sends
+# it nothing more, and it ends by itself before the new one starts.
+vm_replace() {
+  vm_state "$1" leaving
+  local rest
+  mapfile -t rest < <(vm_names_but "$1")
+  fabric_balancers "${rest[@]}"
+  expect "$1 stops gracefully" vm_stop "$1"
+  vm_state "$1" live
+  vm_start "$1"
+  vm_wait "$1"
+  fabric_balancers "${VMS[@]}"
+}
