--- a/benchmarks/swings/Simulation.cpp
+++ b/benchmarks/swings/Simulation.cpp
@@ -10,7 +10,7 @@
 #include <unordered_map>
 
 #include "foxtail/core/Hash.h"
-#include "foxtail/net/Peer.pb.h"
+#include "foxtail/net/PeerCodec.h"
 #include "foxtail/routing/DefaultUpstream.h"
 #include "foxtail/routing/Dispatcher.h"
 
@@ -90,14 +90,12 @@
 size_t
 WireSize(const std::vector<routing::LoadReport>& aLoads)
 {
-  wire::FlowRecords message;
-  message.set_sender(1);
+  net::FlowRecords message;
+  message.mSender = 1;
   for (const routing::LoadReport& it : aLoads) {
-    wire::LoadReport* load = message.add_loads();
-    load->set_upstream(it.mUpstream);
-    load->set_in_flight(it.mInFlight);
+    message.mLoads.push_back({ it.mUpstream, it.mInFlight, it.mHealthy });
   }
-  return message.ByteSizeLong() + kMessageOverhead;
+  return net::Encode(message).size() + kMessageOverhead;
 }
 
 // Upstreams, network and measurements; what sends is given by a policy.
--- a/include/foxtail/net/PeerMessages.h
+++ b/include/foxtail/net/PeerMessages.h
@@ -66,7 +66,7 @@
   membership::Incarnation mRefusedIncarnation = 0;
 };
 
-// Flows, by the lower 32 bits of their hash, that are bound to one upstream.
+// Flows, by their fingerprints, that are bound to one upstream.
 struct UpstreamFlows
 {
   uint32_t mUpstream = 0;
@@ -81,6 +81,8 @@
   // Not zero: the sender has handed over everything that the balancer of this
   // incarnation now owns.
   membership::Incarnation mGrantTo = 0;
+  // Number of the configuration by whose defaults the flows were told.
+  uint64_t mConfigNumber = 0;
   std::vector<UpstreamLoad> mLoads;
 };
 
--- a/src/net/PeerCodec.cpp
+++ b/src/net/PeerCodec.cpp
@@ -426,6 +426,7 @@
                                     it.mFingerprints.end());
   }
   message.set_grant_to(aRecords.mGrantTo);
+  message.set_config_number(aRecords.mConfigNumber);
   for (const UpstreamLoad& it : aRecords.mLoads) {
     Put(it, *message.add_loads());
   }
@@ -457,6 +458,7 @@
         { it.fingerprints().begin(), it.fingerprints().end() } });
   }
   records.mGrantTo = message.grant_to();
+  records.mConfigNumber = message.config_number();
   records.mLoads = TakeLoads(message.loads());
   return records;
 }
