Put the decisions of one balancer together

Cause: routing, scheduling and the request table were separate; the thin path needs them behind one interface without I/O. Ruled out: reading the message before it is handed to its owner; only the owner reads it, so that the forward path stays free of parsing and allocation.

--- a/include/foxtail/net/PeerMessages.h
+++ b/include/foxtail/net/PeerMessages.h
@@ -83,6 +83,8 @@
   membership::Incarnation mGrantTo = 0;
   // Number of the configuration by whose defaults the flows were told.
   uint64_t mConfigNumber = 0;
+  // Whether the loads replace what the sender told before.
+  bool mHasLoads = false;
   std::vector<UpstreamLoad> mLoads;
 };
 
--- a/include/foxtail/requests/RequestTable.h
+++ b/include/foxtail/requests/RequestTable.h
@@ -148,6 +148,7 @@
 // A request that ended without an upstream's answer.
 struct Ended
 {
+  uint32_t mSerial = 0;
   FlowKey mFlow;
   // Answer for the caller; empty when it must not get one.
   std::string_view mBytes;
--- /dev/null
+++ b/src/balancer/Balancer.cpp
@@ -0,0 +1,593 @@
+#include "foxtail/balancer/Balancer.h"
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+#include "foxtail/core/Error.h"
+#include "foxtail/core/Hash.h"
+#include "foxtail/routing/DefaultUpstream.h"
+
+namespace foxtail::balancer {
+
+namespace {
+
+constexpr uint8_t kMaxHops = 6;
+constexpr seconds kCollectInterval{ 1 };
+
+template<typename... Ts>
+struct Overloaded : Ts...
+{
+  using Ts::operator()...;
+};
+template<typename... Ts>
+Overloaded(Ts...) -> Overloaded<Ts...>;
+
+// The same in every process that sees the datagram; read without decoding.
+uint64_t
+TraceKey(uint64_t aFlowHash, std::string_view aDatagram)
+{
+  if (aDatagram.size() < 4) {
+    return aFlowHash;
+  }
+  const size_t tokenLength = static_cast<uint8_t>(aDatagram[0]) & 0x0F;
+  return StableHash(aDatagram.substr(2, 2 + tokenLength), aFlowHash);
+}
+
+const char*
+ReasonText(routing::RefusalReason aReason)
+{
+  switch (aReason) {
+    case routing::RefusalReason::NoUpstream:
+      return "no upstream takes work";
+    case routing::RefusalReason::Overloaded:
+      return "overloaded";
+    case routing::RefusalReason::DeadlinePassed:
+      return "the deadline has passed";
+    case routing::RefusalReason::ShedEverywhere:
+      return "the upstreams shed it";
+  }
+  return "";
+}
+
+} // namespace
+
+Balancer::Balancer(const BalancerSettings& aSettings, TimePoint aNow)
+  : mSettings(aSettings)
+  , mFlows(aSettings.mFlows, aNow)
+  , mDispatcher(aSettings.mDispatcher)
+  , mRequests(aSettings.mRequests)
+  , mLastCollect(aNow)
+  , mLoadsTold(aNow)
+{
+}
+
+void
+Balancer::SetView(membership::ViewPtr aView, TimePoint aNow)
+{
+  if (mView && aView->mSequence < mView->mSequence) {
+    return;
+  }
+  if (mView) {
+    for (const membership::Member& it : mView->mMembers) {
+      if (aView->FindIncarnation(it.mIncarnation) == nullptr) {
+        mDispatcher.OnPeerGone(it.mIncarnation);
+      }
+    }
+  }
+  mView = std::move(aView);
+  mHandoff.clear();
+  mPeerAddress.clear();
+  for (const membership::Member& it : mView->mMembers) {
+    mHandoff[it.mIncarnation] = it.mHandoffAddress;
+    mPeerAddress[it.mIncarnation] = it.mPeerAddress;
+  }
+  mFlows.SetView(mView, aNow);
+  mDispatcher.SetBalancers(mFlows.Ranking().Candidates(),
+                           mSettings.mFlows.mSelf);
+}
+
+void
+Balancer::SetSnapshot(config::SnapshotPtr aSnapshot, TimePoint aNow)
+{
+  mSnapshot = std::move(aSnapshot);
+  mServices.clear();
+  for (size_t i = 0; i < mSnapshot->mServices.size(); ++i) {
+    mServices[mSnapshot->mServices[i].mAddress] =
+      static_cast<config::ServiceIndex>(i);
+  }
+  mUpstreams.clear();
+  for (size_t i = 0; i < mSnapshot->mUpstreams.size(); ++i) {
+    mUpstreams[mSnapshot->mUpstreams[i].mId] =
+      static_cast<config::UpstreamIndex>(i);
+  }
+  mFlows.SetSnapshot(mSnapshot, aNow);
+  mDispatcher.SetSnapshot(mSnapshot, aNow);
+}
+
+void
+Balancer::OnReports(const std::vector<routing::LoadReport>& aReports,
+                    TimePoint aNow)
+{
+  for (const routing::LoadReport& it : aReports) {
+    mDispatcher.OnReport(it, aNow);
+  }
+}
+
+void
+Balancer::OnPeerRecords(routing::Incarnation aFrom,
+                        const routing::RecordBatch& aBatch,
+                        TimePoint aNow)
+{
+  mFlows.OnRecords(aFrom, aBatch, aNow);
+}
+
+void
+Balancer::OnPeerLoads(routing::Incarnation aFrom,
+                      const std::vector<routing::LoadReport>& aLoads,
+                      TimePoint aNow)
+{
+  if (mHandoff.contains(aFrom)) {
+    mDispatcher.OnPeerLoads(aFrom, aLoads, aNow);
+  }
+}
+
+void
+Balancer::Drop(const Error& aError, Actions& aOut)
+{
+  ++mCounters.mMalformed;
+  aOut.Add(Report{ { 6001, aError.what() } });
+}
+
+void
+Balancer::HandOver(routing::Incarnation aTo,
+                   const FlowKey& aFlow,
+                   uint64_t aFlowHash,
+                   uint8_t aHops,
+                   std::string_view aDatagram,
+                   TimePoint aNow,
+                   Actions& aOut)
+{
+  const auto it = mHandoff.find(aTo);
+  if (it == mHandoff.end() || aHops >= kMaxHops) {
+    ++mCounters.mLoops;
+    return;
+  }
+  ++mCounters.mHandedOver;
+  aOut.Add(ToPeer{ it->second,
+                   aFlow,
+                   static_cast<uint8_t>(aHops + 1),
+                   aOut.Keep(aDatagram) });
+  aOut.Add(Hop{ HopKind::HandOver,
+                TraceKey(aFlowHash, aDatagram),
+                aNow,
+                aNow,
+                it->second });
+}
+
+void
+Balancer::OnInbound(const FlowKey& aFlow,
+                    uint8_t aHops,
+                    std::string_view aDatagram,
+                    TimePoint aNow,
+                    WallTime aWall,
+                    Actions& aOut)
+{
+  ++(aHops == 0 ? mCounters.mInbound : mCounters.mFromPeers);
+  if (!IsReady()) {
+    ++mCounters.mNotReady;
+    return;
+  }
+  const uint64_t hash = aFlow.Hash();
+  // The forward path: hand to the owner without reading the message.
+  if (aHops == 0) {
+    const routing::RouteDecision route = mFlows.Route(aFlow, hash, 0, aNow);
+    if (const auto* hand = std::get_if<routing::HandTo>(&route)) {
+      HandOver(hand->mOwner, aFlow, hash, aHops, aDatagram, aNow, aOut);
+      return;
+    }
+  }
+  try {
+    const coap::Message message = coap::Decode(aDatagram);
+    const Inbound in{ aFlow, hash, aHops, aDatagram, message, aNow, aWall };
+    if (aHops > 0 && RouteAway(in, aOut)) {
+      return;
+    }
+    if (message.IsRequest()) {
+      OnRequest(in, aOut);
+    } else {
+      OnEmpty(in, aOut);
+    }
+  } catch (const NetError& e) {
+    Drop(e, aOut);
+  }
+}
+
+// A datagram from a peer is routed anew, unless it carries an Echo value that
+// only this balancer can judge.
+bool
+Balancer::RouteAway(const Inbound& aIn, Actions& aOut)
+{
+  if (aIn.mMessage.mEcho && !aIn.mMessage.IsIdempotent()) {
+    const auto named = requests::NamedIncarnation(*aIn.mMessage.mEcho);
+    if (named == mSettings.mFlows.mSelf) {
+      return false;
+    }
+  }
+  const routing::RouteDecision route =
+    mFlows.Route(aIn.mFlow, aIn.mFlowHash, aIn.mHops, aIn.mNow);
+  const auto* hand = std::get_if<routing::HandTo>(&route);
+  if (hand == nullptr) {
+    return false;
+  }
+  HandOver(hand->mOwner,
+           aIn.mFlow,
+           aIn.mFlowHash,
+           aIn.mHops,
+           aIn.mDatagram,
+           aIn.mNow,
+           aOut);
+  return true;
+}
+
+// The caller's Reset cancels its request; other messages without a code mean
+// nothing here.
+void
+Balancer::OnEmpty(const Inbound& aIn, Actions& aOut)
+{
+  if (aIn.mMessage.mType != coap::Type::Reset) {
+    return;
+  }
+  const auto ended = mRequests.OnCallerReset(
+    aIn.mFlow, aIn.mMessage.mMessageId, aIn.mNow);
+  if (!ended) {
+    return;
+  }
+  End(*ended, aIn.mNow, aOut);
+  routing::WorkActions more;
+  mDispatcher.Cancel(ended->mSerial, aIn.mNow, more);
+  Apply(more, aIn.mNow, aOut);
+}
+
+config::ServiceIndex
+Balancer::ServiceOf(const FlowKey& aFlow) const
+{
+  const auto it = mServices.find(aFlow.mService);
+  return it == mServices.end() ? config::kNoIndex : it->second;
+}
+
+requests::EchoIssuerPresence
+Balancer::PresenceOf(const coap::Message& aMessage) const
+{
+  const auto named = aMessage.mEcho
+                       ? requests::NamedIncarnation(*aMessage.mEcho)
+                       : std::nullopt;
+  return named && mHandoff.contains(*named)
+           ? requests::EchoIssuerPresence::Present
+           : requests::EchoIssuerPresence::Absent;
+}
+
+TimePoint
+Balancer::DeadlineOf(const Inbound& aIn, config::ServiceIndex aService) const
+{
+  const milliseconds timeout = aService == config::kNoIndex
+                                 ? milliseconds(0)
+                                 : mSnapshot->mServices[aService].mTimeout;
+  const TimePoint latest = aIn.mNow + timeout;
+  if (!aIn.mMessage.mDeadline) {
+    return latest;
+  }
+  return std::min(latest, aIn.mNow + (*aIn.mMessage.mDeadline - aIn.mWall));
+}
+
+void
+Balancer::OnRequest(const Inbound& aIn, Actions& aOut)
+{
+  const config::ServiceIndex service = ServiceOf(aIn.mFlow);
+  const requests::RequestAction action =
+    mRequests.OnRequest(aIn.mFlow,
+                        aIn.mMessage,
+                        PresenceOf(aIn.mMessage),
+                        aIn.mNow,
+                        DeadlineOf(aIn, service));
+  const auto answer = [&](std::string_view aBytes) {
+    aOut.Add(ToCaller{ aIn.mFlow, aOut.Keep(aBytes) });
+  };
+  std::visit(
+    Overloaded{
+      [&](const requests::StartRequest& a) { Start(aIn, a, aOut); },
+      [&](const requests::InProgress& a) {
+        const auto upstream = mRequests.SentTo(a.mSerial);
+        const auto bytes =
+          a.mMayResend ? mRequests.Resend(a.mSerial, aIn.mNow) : std::nullopt;
+        if (upstream && bytes) {
+          aOut.Add(ToUpstream{ *upstream, aOut.Keep(*bytes) });
+        }
+      },
+      [&](const requests::ReplayAnswer& a) { answer(a.mBytes); },
+      [&](const requests::Challenge& a) {
+        ++mCounters.mChallenged;
+        answer(a.mBytes);
+      },
+      [&](const requests::Conclude& a) {
+        ++(a.mUnknown ? mCounters.mUnknown : mCounters.mRefused);
+        answer(a.mBytes);
+        aOut.Add(Report{ { a.mUnknown ? 5001 : 5002, "concluded" } });
+      },
+      [&](const requests::HandTo& a) {
+        HandOver(a.mIncarnation,
+                 aIn.mFlow,
+                 aIn.mFlowHash,
+                 aIn.mHops,
+                 aIn.mDatagram,
+                 aIn.mNow,
+                 aOut);
+      },
+      [&](const requests::HandToOwner&) {
+        HandOver(mFlows.Ranking().Owner(routing::RankHash(aIn.mFlowHash)),
+                 aIn.mFlow,
+                 aIn.mFlowHash,
+                 aIn.mHops,
+                 aIn.mDatagram,
+                 aIn.mNow,
+                 aOut);
+      } },
+    action);
+}
+
+void
+Balancer::Start(const Inbound& aIn,
+                const requests::StartRequest& aStart,
+                Actions& aOut)
+{
+  const config::ServiceIndex service = ServiceOf(aIn.mFlow);
+  if (service == config::kNoIndex) {
+    const requests::Refusal refusal{ requests::RefusalCause::NoService,
+                                     "no service at this address" };
+    End(mRequests.Refuse(aStart.mSerial, refusal, aIn.mNow), aIn.mNow, aOut);
+    return;
+  }
+  const uint32_t known =
+    mFlows.Lookup(aIn.mFlow, aIn.mFlowHash, aIn.mNow).mUpstream;
+  const auto bound = mUpstreams.find(known);
+  mRunning[aStart.mSerial] = { aIn.mFlow,
+                               aIn.mFlowHash,
+                               TraceKey(aIn.mFlowHash, aIn.mDatagram),
+                               aIn.mNow,
+                               {},
+                               {} };
+  routing::Work work;
+  work.mSerial = aStart.mSerial;
+  work.mService = service;
+  work.mBound = bound == mUpstreams.end() ? config::kNoIndex : bound->second;
+  work.mFlowHash = routing::RankHash(aIn.mFlowHash);
+  work.mDeadline = aStart.mDeadline;
+  work.mIdempotent = aStart.mIdempotent;
+  routing::WorkActions actions;
+  mDispatcher.Submit(work, aIn.mNow, actions);
+  Apply(actions, aIn.mNow, aOut);
+}
+
+void
+Balancer::Apply(routing::WorkActions& aWork, TimePoint aNow, Actions& aOut)
+{
+  // Sending can fail at the deadline, which frees the slot for more work.
+  for (size_t i = 0; i < aWork.size(); ++i) {
+    const routing::WorkAction action = aWork[i];
+    std::visit(
+      Overloaded{
+        [&](const routing::SendWork& a) { Send(a, aNow, aWork, aOut); },
+        [&](const routing::RefuseWork& a) { Refuse(a, aNow, aOut); },
+        [&](const routing::ExpireWork& a) { Expire(a.mSerial, aNow, aOut); } },
+      action);
+  }
+}
+
+void
+Balancer::Send(const routing::SendWork& aSend,
+               TimePoint aNow,
+               routing::WorkActions& aMore,
+               Actions& aOut)
+{
+  const config::Upstream& upstream = mSnapshot->mUpstreams[aSend.mUpstream];
+  const auto bytes = mRequests.Send(aSend.mSerial, upstream.mAddress, aNow);
+  if (!bytes) {
+    Expire(aSend.mSerial, aNow, aOut);
+    mDispatcher.Finish(
+      aSend.mSerial, routing::Outcome::Cancelled, aNow, aMore);
+    return;
+  }
+  aOut.Add(ToUpstream{ upstream.mAddress, aOut.Keep(*bytes) });
+  const auto it = mRunning.find(aSend.mSerial);
+  if (it == mRunning.end()) {
+    return;
+  }
+  it->second.mSent = aNow;
+  it->second.mUpstream = upstream.mAddress;
+  mFlows.Bind(it->second.mFlow, it->second.mFlowHash, upstream.mId, aNow);
+}
+
+void
+Balancer::Refuse(const routing::RefuseWork& aRefuse,
+                 TimePoint aNow,
+                 Actions& aOut)
+{
+  requests::Refusal refusal;
+  refusal.mText = ReasonText(aRefuse.mReason);
+  refusal.mRetryAfter = aRefuse.mRetryAfter;
+  End(mRequests.Refuse(aRefuse.mSerial, refusal, aNow), aNow, aOut);
+}
+
+void
+Balancer::Expire(uint32_t aSerial, TimePoint aNow, Actions& aOut)
+{
+  if (const auto ended = mRequests.Expire(aSerial, aNow)) {
+    End(*ended, aNow, aOut);
+  }
+}
+
+void
+Balancer::End(const requests::Ended& aEnded, TimePoint aNow, Actions& aOut)
+{
+  ++(aEnded.mUnknown ? mCounters.mUnknown : mCounters.mRefused);
+  if (!aEnded.mBytes.empty()) {
+    aOut.Add(ToCaller{ aEnded.mFlow, aOut.Keep(aEnded.mBytes) });
+  }
+  if (aEnded.mCancel) {
+    aOut.Add(ToUpstream{ aEnded.mCancel->mUpstream,
+                         aOut.Keep(aEnded.mCancel->mBytes) });
+  }
+  aOut.Add(Report{ { aEnded.mUnknown ? 5001 : 5002,
+                     absl::StrCat("caller=",
+                                  aEnded.mFlow.mCaller.ToString(),
+                                  " service=",
+                                  aEnded.mFlow.mService.ToString()) } });
+  Conclude(aEnded.mSerial, aNow, aOut);
+}
+
+// The request is over; its hops are known.
+void
+Balancer::Conclude(uint32_t aSerial, TimePoint aNow, Actions& aOut)
+{
+  const auto it = mRunning.find(aSerial);
+  if (it == mRunning.end()) {
+    return;
+  }
+  const Running& running = it->second;
+  aOut.Add(Hop{ HopKind::Serve,
+                running.mTraceKey,
+                running.mStart,
+                aNow,
+                running.mFlow.mCaller });
+  if (running.mSent != TimePoint()) {
+    aOut.Add(Hop{ HopKind::Upstream,
+                  running.mTraceKey,
+                  running.mSent,
+                  aNow,
+                  running.mUpstream });
+  }
+  mRunning.erase(it);
+}
+
+void
+Balancer::OnUpstream(const Address& aFrom,
+                     std::string_view aDatagram,
+                     TimePoint aNow,
+                     Actions& aOut)
+{
+  try {
+    const coap::Message message = coap::Decode(aDatagram);
+    const requests::UpstreamAction action =
+      mRequests.OnUpstream(aFrom, message, aNow);
+    if (!action.mReply.empty()) {
+      aOut.Add(ToUpstream{ aFrom, aOut.Keep(action.mReply) });
+    }
+    routing::WorkActions more;
+    if (const auto* a = std::get_if<requests::Deliver>(&action.mAction)) {
+      ++mCounters.mAnswered;
+      if (!a->mBytes.empty()) {
+        aOut.Add(ToCaller{ a->mFlow, aOut.Keep(a->mBytes) });
+      }
+      Conclude(a->mSerial, aNow, aOut);
+      mDispatcher.Finish(
+        a->mSerial, routing::Outcome::Answered, aNow, more);
+    } else if (const auto* s =
+                 std::get_if<requests::Shed>(&action.mAction)) {
+      mDispatcher.Finish(s->mSerial, routing::Outcome::Shed, aNow, more);
+    }
+    Apply(more, aNow, aOut);
+  } catch (const NetError& e) {
+    Drop(e, aOut);
+  }
+}
+
+void
+Balancer::Tick(TimePoint aNow, Actions& aOut)
+{
+  if (!IsReady()) {
+    return;
+  }
+  routing::WorkActions work;
+  mDispatcher.Tick(aNow, work);
+  Apply(work, aNow, aOut);
+  for (routing::RecordBatch& it : mFlows.Tick(aNow)) {
+    const auto peer = mPeerAddress.find(it.mTo);
+    if (peer != mPeerAddress.end()) {
+      aOut.Add(TellRecords{ peer->second, std::move(it) });
+    }
+  }
+  ShareLoads(aNow, aOut);
+  if (aNow - mLastCollect >= kCollectInterval) {
+    mRequests.Collect(aNow);
+    mLastCollect = aNow;
+  }
+}
+
+void
+Balancer::ShareLoads(TimePoint aNow, Actions& aOut)
+{
+  const bool isChanged = mDispatcher.LoadsRevision() != mLoadsRevision;
+  const milliseconds interval =
+    isChanged ? mSettings.mLoadInterval : mSettings.mLoadKeepAlive;
+  if (aNow - mLoadsTold < interval) {
+    return;
+  }
+  mLoadsTold = aNow;
+  mLoadsRevision = mDispatcher.LoadsRevision();
+  TellLoads tell;
+  tell.mLoads = mDispatcher.LocalLoads(aNow);
+  for (const routing::Incarnation it : mFlows.Ranking().Candidates()) {
+    const auto peer = mPeerAddress.find(it);
+    if (it != mSettings.mFlows.mSelf && peer != mPeerAddress.end()) {
+      tell.mPeers.push_back(peer->second);
+    }
+  }
+  if (!tell.mPeers.empty()) {
+    aOut.Add(std::move(tell));
+  }
+}
+
+void
+Balancer::BeginLeave(TimePoint aNow)
+{
+  mLeaving = true;
+  mRequests.Leave();
+  mFlows.BeginLeave(aNow);
+}
+
+bool
+Balancer::CanStop(TimePoint aNow) const
+{
+  return mLeaving && mFlows.LeaveComplete() &&
+         !mRequests.HasOutstanding(aNow);
+}
+
+Explanation
+Balancer::Explain(const FlowKey& aFlow, TimePoint aNow)
+{
+  const config::ServiceIndex service =
+    IsReady() ? ServiceOf(aFlow) : config::kNoIndex;
+  if (service == config::kNoIndex) {
+    throw RoutingError(
+      401, aFlow.mService.ToString(), "no service at this address");
+  }
+  const uint64_t hash = aFlow.Hash();
+  Explanation explanation;
+  explanation.mService = mSnapshot->mServices[service].mName;
+  explanation.mOwner = mFlows.Ranking().Owner(routing::RankHash(hash));
+  const membership::Member* owner =
+    mView->FindIncarnation(explanation.mOwner);
+  explanation.mOwnerVm = owner != nullptr ? owner->mName : mSettings.mVm;
+  const auto known =
+    mUpstreams.find(mFlows.Lookup(aFlow, hash, aNow).mUpstream);
+  if (known != mUpstreams.end()) {
+    explanation.mUpstream = mSnapshot->mUpstreams[known->second].mName;
+  }
+  const config::UpstreamIndex index =
+    routing::DefaultUpstream(*mSnapshot, service, routing::RankHash(hash));
+  if (index != config::kNoIndex) {
+    explanation.mDefaultUpstream = mSnapshot->mUpstreams[index].mName;
+  }
+  return explanation;
+}
+
+} // namespace foxtail::balancer
--- a/src/net/PeerCodec.cpp
+++ b/src/net/PeerCodec.cpp
@@ -427,6 +427,7 @@
   }
   message.set_grant_to(aRecords.mGrantTo);
   message.set_config_number(aRecords.mConfigNumber);
+  message.set_has_loads(aRecords.mHasLoads);
   for (const UpstreamLoad& it : aRecords.mLoads) {
     Put(it, *message.add_loads());
   }
@@ -459,6 +460,7 @@
   }
   records.mGrantTo = message.grant_to();
   records.mConfigNumber = message.config_number();
+  records.mHasLoads = message.has_loads();
   records.mLoads = TakeLoads(message.loads());
   return records;
 }
--- a/src/requests/RequestTable.cpp
+++ b/src/requests/RequestTable.cpp
@@ -464,6 +464,7 @@
   Store(entry, mOut);
   Finish(aSlot, Phase::Ended, aNow);
   Ended ended;
+  ended.mSerial = entry.mSerial;
   ended.mFlow = entry.mFlow;
   if (!entry.mSuperseded) {
     ended.mBytes = mOut;
