Add the agent: core, parts and program

Cause: each VM needs a control daemon that keeps membership, configuration, VM list and upstream loads, and answers its balancer and its peers. Ruled out: every agent watching the platform; waiting watches count as calls and would grow with the fleet, so two agents of a failure domain watch and everyone reads each value once in about 90 s.

--- /dev/null
+++ b/include/foxtail/agent/PlatformFeed.h
@@ -0,0 +1,70 @@
+#ifndef foxtail_agent_PlatformFeed_h
+#define foxtail_agent_PlatformFeed_h
+
+#include <cstdint>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <string>
+
+#include "foxtail/agent/SharedCore.h"
+#include "foxtail/core/Error.h"
+#include "foxtail/daemon/Metrics.h"
+#include "foxtail/daemon/Supervisor.h"
+#include "foxtail/net/PlatformClient.h"
+
+namespace foxtail::agent {
+
+// Keeps one value of the platform up to date. While the agent is one of its
+// domain's watchers, it watches the value; every agent reads it now and then,
+// so that neither a watch that missed something nor wrong peers last. With the
+// platform down it tries again at growing intervals.
+class PlatformFeed
+{
+public:
+  // One watch waits this long.
+  static constexpr seconds kWatchWait{ 20 };
+  // Every agent reads the value once in half to one and a half of this time.
+  static constexpr seconds kReadPeriod{ 90 };
+  // The first reads of agents that start together are spread over this time.
+  static constexpr milliseconds kFirstReadSpread{ 500 };
+  static constexpr milliseconds kFirstBackoff{ 500 };
+  static constexpr seconds kMaxBackoff{ 15 };
+
+  PlatformFeed(SharedCore& aCore,
+               daemon::Metrics& aMetrics,
+               const Address& aPlatform,
+               std::string aName,
+               uint64_t aSeed);
+
+  const std::string& Name() const { return mName; }
+
+  void Run(const daemon::StopToken& aStop);
+
+  // Ends the call that Run waits in.
+  void Interrupt();
+
+private:
+  void Step(net::PlatformClient& aClient, const daemon::StopToken& aStop);
+  void Take(net::PlatformClient& aClient, const net::PlatformValue& aValue);
+  void CountBytes(const net::PlatformClient& aClient);
+  void NoteFailure(const Error& aError);
+  void NoteSuccess();
+  Duration Jittered(Duration aTime);
+
+  SharedCore& mCore;
+  daemon::Metrics& mMetrics;
+  const Address mPlatform;
+  const std::string mName;
+  std::mt19937_64 mRandom;
+  uint64_t mIndex = 0;
+  TimePoint mNextRead;
+  Duration mBackoff{ 0 };
+
+  std::mutex mMutex;
+  std::shared_ptr<net::PlatformClient> mClient;
+};
+
+} // namespace foxtail::agent
+
+#endif
--- a/include/foxtail/membership/Detector.h
+++ b/include/foxtail/membership/Detector.h
@@ -149,7 +149,12 @@
   // Takes one event; aNow never goes back.
   DetectorActions Handle(TimePoint aNow, const DetectorEvent& aEvent);
 
-  const View& CurrentView() const { return *mView; }
+  // The newest view; empty and in doubt until this agent has joined. Sequences
+  // begin at the agent's incarnation, so a later life continues them.
+  ViewPtr CurrentView() const { return mView; }
+  bool HasJoined() const { return mPhase == Phase::Live; }
+  // A balancer lives on this VM.
+  bool HasBalancer() const { return mBalancer.Current().has_value(); }
   const VmRegistry& Registry() const { return mRegistry; }
 
   // Agents that are not dead, this one excluded; their balancers may be
--- /dev/null
+++ b/include/foxtail/net/ConfigExchange.h
@@ -0,0 +1,25 @@
+#ifndef foxtail_net_ConfigExchange_h
+#define foxtail_net_ConfigExchange_h
+
+#include "foxtail/config/Chain.h"
+#include "foxtail/net/PeerMessages.h"
+
+// Between the chain's own types and those that travel.
+namespace foxtail::net {
+
+membership::ConfigProgress
+ToProgress(const config::ChainPoint& aPoint);
+
+config::ChainPoint
+ToPoint(const membership::ConfigProgress& aProgress);
+
+// A reply without a VM list.
+ConfigReply
+ToReply(config::ChainAnswer aAnswer);
+
+config::ChainAnswer
+ToAnswer(ConfigReply aReply);
+
+} // namespace foxtail::net
+
+#endif
--- a/include/foxtail/net/PeerCodec.h
+++ b/include/foxtail/net/PeerCodec.h
@@ -37,11 +37,12 @@
 constexpr size_t kMaxPatches = 65536;
 // Fingerprints in one FlowRecords message.
 constexpr size_t kMaxFingerprints = 1 << 20;
-// Messages over nng; bytes. A value of the platform is at most 1 MiB.
+// Messages over nng; bytes. A configuration document is at most 8 MiB and the
+// VM list at most 1 MiB.
 constexpr size_t kMaxConfigRequestSize = 256;
-constexpr size_t kMaxConfigReplySize = 4 << 20;
+constexpr size_t kMaxConfigReplySize = 12 << 20;
 constexpr size_t kMaxLocalRequestSize = 1024;
-constexpr size_t kMaxLocalReplySize = 8 << 20;
+constexpr size_t kMaxLocalReplySize = 16 << 20;
 constexpr size_t kMaxFlowRecordsSize = 8 << 20;
 // Length of a name; bytes.
 constexpr size_t kMaxNameLength = 63;
--- /dev/null
+++ b/src/agent/Agent.cpp
@@ -0,0 +1,192 @@
+#include "foxtail/agent/Agent.h"
+
+#include <chrono>
+#include <thread>
+
+#include "absl/strings/str_cat.h"
+
+#include "agent/Status.h"
+#include "foxtail/agent/LoadPoller.h"
+#include "foxtail/agent/PeerLinks.h"
+#include "foxtail/agent/PlatformFeed.h"
+#include "foxtail/agent/SharedCore.h"
+#include "foxtail/core/Hash.h"
+#include "foxtail/daemon/Log.h"
+#include "foxtail/daemon/Process.h"
+#include "foxtail/daemon/StatusServer.h"
+#include "foxtail/daemon/Supervisor.h"
+
+namespace foxtail::agent {
+
+namespace {
+
+using daemon::StopToken;
+
+constexpr milliseconds kLookForSignal{ 20 };
+// The peers hear of a leave at least this long before the agent ends.
+constexpr milliseconds kLeaveNotice{ 300 };
+
+// Later lives have greater numbers as long as the clock does not go back; if
+// it does, the peers tell and the detector goes beyond.
+uint64_t
+NewIncarnation()
+{
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<uint64_t>(
+    std::chrono::duration_cast<microseconds>(now).count());
+}
+
+membership::DetectorSettings
+MakeDetectorSettings(const daemon::Settings& aSettings)
+{
+  membership::DetectorSettings settings;
+  settings.mName = aSettings.mVm.mName;
+  settings.mRegion = aSettings.mVm.mRegion;
+  settings.mDomain = aSettings.mVm.mDomain;
+  settings.mAgentAddress = aSettings.At(aSettings.mPorts.mAgent);
+  settings.mIncarnation = NewIncarnation();
+  settings.mSeed = StableHash(settings.mName, settings.mIncarnation);
+  return settings;
+}
+
+} // namespace
+
+struct Agent::State
+{
+  explicit State(const daemon::Settings& aSettings)
+    : mSettings(aSettings)
+    , mDetectorSettings(MakeDetectorSettings(aSettings))
+    , mCore(mDetectorSettings)
+    , mPollers(mCore, mMetrics)
+    , mBase(MakeFeed("config.base"))
+    , mPatches(MakeFeed("config.patches"))
+    , mVms(MakeFeed("vms"))
+    , mFeeds("platform", daemon::LogEvent)
+    , mTree("agent", daemon::LogEvent)
+  {
+    AddParts();
+    ServeStatus();
+  }
+
+  std::unique_ptr<PlatformFeed> MakeFeed(const std::string& aName)
+  {
+    return std::make_unique<PlatformFeed>(
+      mCore,
+      mMetrics,
+      mSettings.mPlatform,
+      aName,
+      StableHash(aName, mDetectorSettings.mSeed));
+  }
+
+  void AddParts()
+  {
+    const Address agent = mDetectorSettings.mAgentAddress;
+    const Address local = mSettings.At(mSettings.mPorts.mLocal);
+    // The last one added ends first: gossip stays to tell the peers.
+    mTree.Add("gossip",
+              [=](const StopToken& t) { RunGossip(mCore, agent, t); });
+    mTree.Add("local-server",
+              [=](const StopToken& t) { RunLocalServer(mCore, local, t); });
+    mTree.Add("peer-server",
+              [=](const StopToken& t) { RunPeerServer(mCore, agent, t); });
+    mTree.Add("fetcher",
+              [=](const StopToken& t) { RunFetcher(mCore, agent, t); });
+    mTree.Add("load-poller", [=](const StopToken& t) { mPollers.Run(t); });
+    for (PlatformFeed* it : { mVms.get(), mBase.get(), mPatches.get() }) {
+      mFeeds.Add(
+        it->Name(),
+        [=](const StopToken& t) { it->Run(t); },
+        [=] { it->Interrupt(); });
+    }
+    mTree.Add("platform", [=](const StopToken& t) { mFeeds.Run(t); });
+  }
+
+  void ServeStatus()
+  {
+    mStatus.Serve("/status", "application/json", [=](const auto&) {
+      return mCore.With([&](AgentCore& c, TimePoint) {
+        return StatusText(c, mSettings.mVm.mName);
+      });
+    });
+    mStatus.Serve("/metrics", "text/plain", [=](const auto&) {
+      mCore.With([&](AgentCore& c, TimePoint) { UpdateMetrics(c, mMetrics); });
+      return mMetrics.Text();
+    });
+  }
+
+  // Until the peers have heard of the leave and the balancer has ended.
+  void Drain()
+  {
+    daemon::LogEvent({ 1002, "" });
+    mCore.With([](AgentCore& c, TimePoint aNow) { c.Leave(aNow); });
+    const TimePoint start = std::chrono::steady_clock::now();
+    Duration elapsed{ 0 };
+    bool balancer = true;
+    while (elapsed < kLeaveNotice ||
+           (balancer && elapsed < mSettings.mLimits.mDrain)) {
+      std::this_thread::sleep_for(kLookForSignal);
+      elapsed = std::chrono::steady_clock::now() - start;
+      balancer = mCore.With(
+        [](AgentCore& c, TimePoint) { return c.Members().HasBalancer(); });
+    }
+    mCore.With([](AgentCore& c, TimePoint aNow) { c.Stop(aNow); });
+  }
+
+  daemon::Settings mSettings;
+  membership::DetectorSettings mDetectorSettings;
+  daemon::Metrics mMetrics;
+  SharedCore mCore;
+  LoadPoller mPollers;
+  std::unique_ptr<PlatformFeed> mBase;
+  std::unique_ptr<PlatformFeed> mPatches;
+  std::unique_ptr<PlatformFeed> mVms;
+  daemon::Supervisor mFeeds;
+  daemon::Supervisor mTree;
+  daemon::StatusServer mStatus;
+};
+
+Agent::Agent(const daemon::Settings& aSettings)
+  : mState(std::make_unique<State>(aSettings))
+{
+}
+
+Agent::~Agent() = default;
+
+void
+Agent::Run()
+{
+  State& state = *mState;
+  state.mStatus.Start(state.mSettings.At(state.mSettings.mPorts.mAgentHttp));
+  daemon::LogEvent(
+    { 1001,
+      absl::StrCat("agent=",
+                   state.mDetectorSettings.mAgentAddress.ToString(),
+                   " incarnation=",
+                   state.mDetectorSettings.mIncarnation) });
+
+  StopToken stop;
+  StopToken ended;
+  std::thread signals([&] {
+    while (!daemon::StopRequested() && !ended.WaitFor(kLookForSignal)) {
+    }
+    if (!ended.IsRequested()) {
+      state.Drain();
+    }
+    stop.Request();
+  });
+  const auto join = [&] {
+    ended.Request();
+    signals.join();
+    state.mStatus.Stop();
+  };
+  try {
+    state.mTree.Run(stop);
+  } catch (...) {
+    join();
+    throw;
+  }
+  join();
+  daemon::LogEvent({ 1003, "" });
+}
+
+} // namespace foxtail::agent
--- /dev/null
+++ b/src/agent/AgentCore.cpp
@@ -0,0 +1,405 @@
+#include "foxtail/agent/AgentCore.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+
+#include "foxtail/agent/WatchDuty.h"
+#include "foxtail/config/SchemaCheck.h"
+#include "foxtail/core/Error.h"
+#include "foxtail/net/ConfigExchange.h"
+#include "foxtail/net/PeerCodec.h"
+#include "foxtail/net/VmList.h"
+
+namespace foxtail::agent {
+
+namespace {
+
+using nlohmann::json;
+
+// Fetches that bring nothing are made at twice the last interval, up to the
+// greatest.
+constexpr milliseconds kFirstFetchDelay{ 100 };
+constexpr seconds kMaxFetchDelay{ 30 };
+constexpr uint32_t kLoopback = 0x7F000001;
+
+void
+CountSent(Traffic& aTraffic, size_t aBytes)
+{
+  ++aTraffic.mSentMessages;
+  aTraffic.mSentBytes += aBytes;
+}
+
+void
+CountReceived(Traffic& aTraffic, size_t aBytes)
+{
+  ++aTraffic.mReceivedMessages;
+  aTraffic.mReceivedBytes += aBytes;
+}
+
+} // namespace
+
+AgentCore::AgentCore(const membership::DetectorSettings& aSettings)
+  : mSettings(aSettings)
+  , mDetector(aSettings)
+  , mLoads(aSettings.mSeed)
+  , mFetchDelay(kFirstFetchDelay)
+{
+}
+
+// Membership.
+
+void
+AgentCore::Feed(TimePoint aNow, const membership::DetectorEvent& aEvent)
+{
+  for (const membership::DetectorAction& it : mDetector.Handle(aNow, aEvent)) {
+    std::visit([&](const auto& a) { Do(a); }, it);
+  }
+}
+
+void
+AgentCore::Tick(TimePoint aNow)
+{
+  Feed(aNow, membership::Tick{});
+}
+
+void
+AgentCore::Leave(TimePoint aNow)
+{
+  Feed(aNow, membership::LeaveRequested{});
+}
+
+void
+AgentCore::Stop(TimePoint aNow)
+{
+  Feed(aNow, membership::Stopped{});
+}
+
+void
+AgentCore::TakeDatagram(TimePoint aNow,
+                        const Address& aPeer,
+                        std::string_view aBytes)
+{
+  try {
+    membership::Gossip gossip = net::DecodeGossip(aBytes);
+    CountReceived(mCounters.mGossip[static_cast<size_t>(gossip.mKind)],
+                  aBytes.size());
+    Feed(aNow, membership::GossipReceived{ aPeer, std::move(gossip) });
+  } catch (const PeerError& e) {
+    DropPeerMessage(aPeer, e.what());
+  }
+}
+
+void
+AgentCore::Do(const membership::SendGossip& aAction)
+{
+  std::string bytes = net::Encode(aAction.mGossip);
+  CountSent(mCounters.mGossip[static_cast<size_t>(aAction.mGossip.mKind)],
+            bytes.size());
+  mOutgoing.push_back({ aAction.mTo, std::move(bytes) });
+}
+
+void
+AgentCore::Do(const membership::ViewChanged& aAction)
+{
+  const membership::View& view = *aAction.mView;
+  mEvents.push_back({ view.mInDoubt ? 3002 : 3001,
+                      absl::StrCat("sequence=",
+                                   view.mSequence,
+                                   " members=",
+                                   view.mMembers.size(),
+                                   " published=",
+                                   mDetector.Registry().Entries().size()) });
+}
+
+void
+AgentCore::Do(const membership::PeerAhead& aAction)
+{
+  mAheadPeer = aAction.mPeer;
+}
+
+void
+AgentCore::Do(const membership::BalancerRefused& aAction)
+{
+  mRefusedFloor = aAction.mFloor;
+}
+
+void
+AgentCore::Do(const membership::GossipRefused& aAction)
+{
+  DropPeerMessage(aAction.mPeer, absl::StrCat("error=", aAction.mError));
+}
+
+void
+AgentCore::DropPeerMessage(const Address& aPeer, const std::string& aWhy)
+{
+  ++mCounters.mPeerMessagesDropped;
+  mEvents.push_back(
+    { 7001, absl::StrCat("peer=", aPeer.ToString(), " why=", aWhy) });
+}
+
+// Platform.
+
+void
+AgentCore::DropPlatformAnswer(const std::string& aWhy)
+{
+  ++mCounters.mPlatformAnswersDropped;
+  mEvents.push_back({ 8002, absl::StrCat("why=", aWhy) });
+}
+
+void
+AgentCore::TakeBase(TimePoint aNow, const json& aValue)
+{
+  try {
+    Follow(aNow, mChain.Offer(config::Base::FromJson(aValue)));
+  } catch (const ConfigError& e) {
+    DropPlatformAnswer(e.what());
+  }
+}
+
+bool
+AgentCore::TakePatches(TimePoint aNow, const json& aValue)
+{
+  try {
+    return Follow(aNow, mChain.Offer(config::PatchList::FromJson(aValue)));
+  } catch (const ConfigError& e) {
+    DropPlatformAnswer(e.what());
+    return true;
+  }
+}
+
+void
+AgentCore::TakeVms(TimePoint aNow, const json& aValue, uint64_t aIndex)
+{
+  try {
+    AdoptVms(aNow, aValue, aIndex);
+  } catch (const PlatformError& e) {
+    DropPlatformAnswer(e.what());
+  }
+}
+
+void
+AgentCore::AdoptVms(TimePoint aNow, const json& aValue, uint64_t aIndex)
+{
+  const membership::PublishedVms vms = net::ParseVmList(aValue, aIndex);
+  if (aIndex > mDetector.Registry().Index()) {
+    mVmsText = aValue.dump();
+  }
+  Feed(aNow, membership::VmsRead{ vms });
+}
+
+bool
+AgentCore::Follow(TimePoint aNow, const config::OfferResult& aResult)
+{
+  if (const auto* advanced = std::get_if<config::Advanced>(&aResult)) {
+    Report(*advanced);
+    if (mChain.Current() != nullptr) {
+      mLoads.SetUpstreams(*mChain.Current());
+    }
+    Feed(aNow, membership::ConfigChanged{ net::ToProgress(mChain.Point()) });
+  } else if (std::holds_alternative<config::OlderIgnored>(aResult)) {
+    mEvents.push_back(
+      { 2003, absl::StrCat("in_force=", mChain.Point().mVersion.mNumber) });
+  } else if (const auto* rewritten = std::get_if<config::Rewritten>(&aResult)) {
+    DropPlatformAnswer(rewritten->mReason);
+  }
+  return !std::holds_alternative<config::Gap>(aResult);
+}
+
+void
+AgentCore::Report(const config::Advanced& aAdvanced)
+{
+  for (const config::RefusedPatch& it : aAdvanced.mRefused) {
+    mEvents.push_back({ 2002,
+                        absl::StrCat("position=",
+                                     it.mPosition,
+                                     " error=",
+                                     it.mErrorId,
+                                     " why=",
+                                     it.mReason) });
+  }
+  if (!aAdvanced.mAccepted.empty()) {
+    const config::Version& version = aAdvanced.mAccepted.back();
+    mEvents.push_back({ 2001,
+                        absl::StrCat("version=",
+                                     version.mNumber,
+                                     " digest=",
+                                     config::DigestText(version.mDigest)) });
+  }
+}
+
+bool
+AgentCore::WatchesPlatform() const
+{
+  return agent::WatchesPlatform(
+    mSettings.mName, mSettings.mDomain, mDetector.LiveAgents());
+}
+
+// Peers.
+
+std::string
+AgentCore::AnswerPeer(const Address& aFrom, std::string_view aRequest)
+{
+  CountReceived(mCounters.mServe, aRequest.size());
+  try {
+    if (!mDetector.Registry().PermitsIp(aFrom.mIp)) {
+      throw PeerError(720, aFrom.ToString(), "no published VM");
+    }
+    const net::ConfigRequest request = net::DecodeConfigRequest(aRequest);
+    net::ConfigReply reply =
+      net::ToReply(mChain.Answer(net::ToPoint(request.mHave)));
+    if (mDetector.Registry().Index() > request.mVmsIndex) {
+      reply.mVmsJson = mVmsText;
+      reply.mVmsIndex = mDetector.Registry().Index();
+    }
+    std::string bytes = net::Encode(reply);
+    CountSent(mCounters.mServe, bytes.size());
+    return bytes;
+  } catch (const PeerError& e) {
+    DropPeerMessage(aFrom, e.what());
+    throw;
+  }
+}
+
+std::optional<PeerFetch>
+AgentCore::NextFetch(TimePoint aNow)
+{
+  if (!mAheadPeer || mFetching || aNow < mNextFetch) {
+    return std::nullopt;
+  }
+  mFetching = true;
+  net::ConfigRequest request{ net::ToProgress(mChain.Point()),
+                              mDetector.Registry().Index() };
+  PeerFetch fetch{ *mAheadPeer, net::Encode(request) };
+  CountSent(mCounters.mFetch, fetch.mRequest.size());
+  mAheadPeer.reset();
+  return fetch;
+}
+
+void
+AgentCore::TakeFetched(TimePoint aNow,
+                       const Address& aPeer,
+                       std::string_view aReply)
+{
+  CountReceived(mCounters.mFetch, aReply.size());
+  const config::ChainPoint point = mChain.Point();
+  const uint64_t index = mDetector.Registry().Index();
+  try {
+    net::ConfigReply reply = net::DecodeConfigReply(aReply);
+    if (!reply.mVmsJson.empty()) {
+      std::string reason;
+      const auto value = config::ParseBoundedJson(
+        reply.mVmsJson, config::kMaxValueBytes, reason);
+      AdoptVms(aNow, value ? *value : json(), reply.mVmsIndex);
+    }
+    const config::ChainAnswer answer = net::ToAnswer(std::move(reply));
+    if (!answer.IsEmpty()) {
+      Follow(aNow, mChain.Offer(answer));
+    }
+  } catch (const Error& e) {
+    DropPeerMessage(aPeer, e.what());
+  }
+  FetchFailed(aNow);
+  if (!(mChain.Point() == point) || mDetector.Registry().Index() != index) {
+    mFetchDelay = kFirstFetchDelay;
+    mNextFetch = aNow;
+  }
+}
+
+void
+AgentCore::FetchFailed(TimePoint aNow)
+{
+  mFetching = false;
+  mNextFetch = aNow + mFetchDelay;
+  mFetchDelay = std::min(mFetchDelay * 2, Duration(kMaxFetchDelay));
+}
+
+// Upstreams.
+
+void
+AgentCore::TakeLoad(TimePoint aAsked,
+                    const LoadPoll& aPoll,
+                    std::string_view aBody)
+{
+  try {
+    mLoads.Take(aAsked, aPoll.mUpstream, aBody);
+  } catch (const PlatformError& e) {
+    ++mCounters.mLoadReportsDropped;
+    mEvents.push_back(
+      { 8003,
+        absl::StrCat(
+          "endpoint=", aPoll.mAddress.ToString(), " why=", e.what()) });
+  }
+}
+
+// The balancer of this VM.
+
+std::string
+AgentCore::AnswerBalancer(TimePoint aNow,
+                          const Address& aFrom,
+                          std::string_view aRequest)
+{
+  CountReceived(mCounters.mLocal, aRequest.size());
+  try {
+    const net::LocalRequest request = net::DecodeLocalRequest(aRequest);
+    RequireOwnBalancer(aFrom, request);
+    mRefusedFloor = 0;
+    Feed(aNow, membership::BalancerHeartbeat{ request.mSelf });
+    std::string bytes = net::Encode(ComposeReply(aNow, request));
+    CountSent(mCounters.mLocal, bytes.size());
+    return bytes;
+  } catch (const PeerError& e) {
+    DropPeerMessage(aFrom, e.what());
+    throw;
+  }
+}
+
+void
+AgentCore::RequireOwnBalancer(const Address& aFrom,
+                              const net::LocalRequest& aRequest) const
+{
+  if (aFrom.mIp != mSettings.mAgentAddress.mIp && aFrom.mIp != kLoopback) {
+    throw PeerError(723, aFrom.ToString(), "not on this VM");
+  }
+  if (aRequest.mSelf.mName != mSettings.mName) {
+    throw PeerError(724, aRequest.mSelf.mName, "not the name of this VM");
+  }
+}
+
+net::LocalReply
+AgentCore::ComposeReply(TimePoint aNow, const net::LocalRequest& aRequest)
+{
+  net::LocalReply reply;
+  const membership::View& view = *mDetector.CurrentView();
+  reply.mRefusedIncarnation = mRefusedFloor;
+  reply.mViewInDoubt = view.mInDoubt;
+  reply.mViewSequence = aRequest.mViewSequence;
+  // Until this agent has joined, the balancer's view is the better one.
+  if (mDetector.HasJoined() && aRequest.mViewSequence != view.mSequence) {
+    reply.mViewSequence = view.mSequence;
+    reply.mMembers = view.mMembers;
+  }
+  const config::ChainPoint have = net::ToPoint(aRequest.mConfig);
+  reply.mConfig = net::ToReply(mChain.Answer(have));
+
+  const bool known = aRequest.mSelf.mIncarnation == mToldBalancer;
+  reply.mLoads = mLoads.After(aNow, known ? mToldSerial : 0);
+  mToldBalancer = aRequest.mSelf.mIncarnation;
+  mToldSerial = mLoads.LastSerial();
+  return reply;
+}
+
+std::vector<OutgoingDatagram>
+AgentCore::TakeOutgoing()
+{
+  return std::exchange(mOutgoing, {});
+}
+
+std::vector<Event>
+AgentCore::TakeEvents()
+{
+  return std::exchange(mEvents, {});
+}
+
+} // namespace foxtail::agent
--- /dev/null
+++ b/src/agent/LoadPoller.cpp
@@ -0,0 +1,74 @@
+#include "foxtail/agent/LoadPoller.h"
+
+#include <chrono>
+#include <string>
+
+#include "httplib.h"
+
+namespace foxtail::agent {
+
+namespace {
+
+constexpr milliseconds kLookAgain{ 50 };
+constexpr char kPath[] = "/load";
+// Request line, status line and the usual headers; the library does not say
+// how many bytes it moved.
+constexpr size_t kHeadersSent = 110;
+constexpr size_t kHeadersReceived = 120;
+
+} // namespace
+
+LoadPoller::LoadPoller(SharedCore& aCore, daemon::Metrics& aMetrics)
+  : mCore(aCore)
+  , mMetrics(aMetrics)
+{
+}
+
+void
+LoadPoller::Run(const daemon::StopToken& aStop)
+{
+  while (!aStop.IsRequested()) {
+    const std::optional<LoadPoll> poll = mCore.With(
+      [](AgentCore& c, TimePoint aNow) { return c.Loads().Next(aNow); });
+    if (poll) {
+      Poll(*poll);
+    } else {
+      aStop.WaitFor(kLookAgain);
+    }
+  }
+}
+
+void
+LoadPoller::Poll(const LoadPoll& aPoll)
+{
+  const TimePoint asked = std::chrono::steady_clock::now();
+  httplib::Client client(aPoll.mAddress.IpString(), aPoll.mAddress.mPort);
+  client.set_connection_timeout(kConnectTimeout);
+  client.set_read_timeout(kAnswerTimeout);
+  client.set_write_timeout(kAnswerTimeout);
+  std::string body;
+  const auto take = [&](const char* aData, size_t aLength) {
+    body.append(aData, aLength);
+    return body.size() <= LoadTable::kMaxReportSize;
+  };
+  const httplib::Result result = client.Get(kPath, take);
+  Count("sent", kHeadersSent);
+  const bool tooLong = body.size() > LoadTable::kMaxReportSize;
+  if (!tooLong && (!result || result->status != 200)) {
+    return;
+  }
+  Count("received", kHeadersReceived + body.size());
+  mCore.With([&](AgentCore& c, TimePoint) { c.TakeLoad(asked, aPoll, body); });
+}
+
+void
+LoadPoller::Count(const char* aDirection, size_t aBytes)
+{
+  mMetrics
+    .Counter("foxtail_control_bytes_total",
+             "Control traffic by kind, without IP headers.",
+             { { "kind", "load_report" }, { "direction", aDirection } })
+    .Increment(static_cast<double>(aBytes));
+}
+
+} // namespace foxtail::agent
--- /dev/null
+++ b/src/agent/LoadTable.cpp
@@ -0,0 +1,118 @@
+#include "foxtail/agent/LoadTable.h"
+
+#include <algorithm>
+#include <set>
+
+#include "absl/strings/str_cat.h"
+#include "nlohmann/json.hpp"
+
+#include "foxtail/core/Error.h"
+
+namespace foxtail::agent {
+
+namespace {
+
+using nlohmann::json;
+
+bool
+ReadFlag(const json& aReport, const char* aKey)
+{
+  const auto it = aReport.find(aKey);
+  if (it == aReport.end() || !it->is_boolean()) {
+    throw PlatformError(830, aKey, "expected true or false");
+  }
+  return it->get<bool>();
+}
+
+uint32_t
+ReadCount(const json& aReport, const char* aKey)
+{
+  const auto it = aReport.find(aKey);
+  if (it == aReport.end() || !it->is_number_unsigned()) {
+    throw PlatformError(830, aKey, "expected a number that is not negative");
+  }
+  const uint64_t count = it->get<uint64_t>();
+  if (count > LoadTable::kMaxInFlight) {
+    throw PlatformError(831, aKey, absl::StrCat("cannot be true: ", count));
+  }
+  return static_cast<uint32_t>(count);
+}
+
+} // namespace
+
+LoadTable::LoadTable(uint64_t aSeed)
+  : mRandom(aSeed)
+{
+}
+
+void
+LoadTable::SetUpstreams(const config::Snapshot& aSnapshot)
+{
+  std::set<uint32_t> known;
+  mOrder.clear();
+  for (const config::Upstream& it : aSnapshot.mUpstreams) {
+    known.insert(it.mId);
+    if (it.mReportAddress.mPort != 0) {
+      mOrder.push_back({ it.mId, it.mReportAddress });
+    }
+  }
+  // Agents differ in their order, so that an upstream is not polled by all of
+  // them at once.
+  std::shuffle(mOrder.begin(), mOrder.end(), mRandom);
+  mTurn = 0;
+  for (auto it = mReports.begin(); it != mReports.end();) {
+    it = known.count(it->first) != 0 ? std::next(it) : mReports.erase(it);
+  }
+}
+
+std::optional<LoadPoll>
+LoadTable::Next(TimePoint aNow)
+{
+  if (mOrder.empty() || aNow < mNextPoll) {
+    return std::nullopt;
+  }
+  mNextPoll = std::max(mNextPoll + kPollPeriod, aNow);
+  mTurn = (mTurn + 1) % mOrder.size();
+  return mOrder[mTurn];
+}
+
+void
+LoadTable::Take(TimePoint aAsked, uint32_t aUpstream, std::string_view aBody)
+{
+  if (aBody.size() > kMaxReportSize) {
+    throw PlatformError(830, "load report", "too long");
+  }
+  const json report = json::parse(aBody, nullptr, false);
+  if (!report.is_object()) {
+    throw PlatformError(830, "load report", "not a JSON object");
+  }
+  net::UpstreamLoad load;
+  load.mUpstream = aUpstream;
+  load.mHealthy = ReadFlag(report, "healthy");
+  load.mDraining = ReadFlag(report, "draining");
+  load.mInFlight = ReadCount(report, "in_flight");
+  ReadCount(report, "slots");
+  mReports[aUpstream] = { load, aAsked, ++mLastSerial };
+}
+
+std::vector<net::UpstreamLoad>
+LoadTable::After(TimePoint aNow, uint64_t aAfter)
+{
+  std::vector<net::UpstreamLoad> loads;
+  for (auto it = mReports.begin(); it != mReports.end();) {
+    const Report& report = it->second;
+    if (aNow - report.mTaken > kMaxAge) {
+      it = mReports.erase(it);
+      continue;
+    }
+    if (report.mSerial > aAfter) {
+      loads.push_back(report.mLoad);
+      loads.back().mAge =
+        std::chrono::duration_cast<milliseconds>(aNow - report.mTaken);
+    }
+    ++it;
+  }
+  return loads;
+}
+
+} // namespace foxtail::agent
--- /dev/null
+++ b/src/agent/PlatformFeed.cpp
@@ -0,0 +1,167 @@
+#include "foxtail/agent/PlatformFeed.h"
+
+#include <algorithm>
+#include <chrono>
+
+#include "absl/strings/str_cat.h"
+
+#include "foxtail/core/Error.h"
+#include "foxtail/daemon/Log.h"
+
+namespace foxtail::agent {
+
+namespace {
+
+constexpr char kBase[] = "config.base";
+constexpr char kPatches[] = "config.patches";
+// How soon an agent notices that it has become a watcher.
+constexpr milliseconds kLookAgain{ 500 };
+
+} // namespace
+
+PlatformFeed::PlatformFeed(SharedCore& aCore,
+                           daemon::Metrics& aMetrics,
+                           const Address& aPlatform,
+                           std::string aName,
+                           uint64_t aSeed)
+  : mCore(aCore)
+  , mMetrics(aMetrics)
+  , mPlatform(aPlatform)
+  , mName(std::move(aName))
+  , mRandom(aSeed)
+{
+}
+
+void
+PlatformFeed::Run(const daemon::StopToken& aStop)
+{
+  auto client = std::make_shared<net::PlatformClient>(mPlatform);
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    mClient = client;
+  }
+  const auto spread = static_cast<uint64_t>(kFirstReadSpread.count());
+  aStop.WaitFor(milliseconds(mRandom() % spread));
+  while (!aStop.IsRequested()) {
+    try {
+      Step(*client, aStop);
+      NoteSuccess();
+    } catch (const PlatformError& e) {
+      CountBytes(*client);
+      if (!aStop.IsRequested()) {
+        NoteFailure(e);
+        aStop.WaitFor(Jittered(mBackoff));
+      }
+    }
+  }
+}
+
+void
+PlatformFeed::Interrupt()
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  if (mClient) {
+    mClient->Stop();
+  }
+}
+
+void
+PlatformFeed::Step(net::PlatformClient& aClient, const daemon::StopToken& aStop)
+{
+  if (std::chrono::steady_clock::now() >= mNextRead) {
+    Take(aClient, aClient.Read(mName));
+    mNextRead = std::chrono::steady_clock::now() + Jittered(kReadPeriod);
+    return;
+  }
+  const bool watches =
+    mCore.With([](AgentCore& c, TimePoint) { return c.WatchesPlatform(); });
+  if (!watches) {
+    aStop.WaitFor(kLookAgain);
+    return;
+  }
+  const std::optional<net::PlatformValue> value =
+    aClient.Watch(mName, mIndex, kWatchWait);
+  if (value) {
+    Take(aClient, *value);
+  } else {
+    CountBytes(aClient);
+  }
+}
+
+void
+PlatformFeed::Take(net::PlatformClient& aClient,
+                   const net::PlatformValue& aValue)
+{
+  CountBytes(aClient);
+  mIndex = aValue.mIndex;
+  const bool follows = mCore.With([&](AgentCore& c, TimePoint aNow) {
+    if (mName == kBase) {
+      c.TakeBase(aNow, aValue.mValue);
+    } else if (mName == kPatches) {
+      return c.TakePatches(aNow, aValue.mValue);
+    } else {
+      c.TakeVms(aNow, aValue.mValue, aValue.mIndex);
+    }
+    return true;
+  });
+  if (follows) {
+    return;
+  }
+  // The patches begin after what is in force here.
+  const net::PlatformValue base = aClient.Read(kBase);
+  CountBytes(aClient);
+  mCore.With([&](AgentCore& c, TimePoint aNow) {
+    c.TakeBase(aNow, base.mValue);
+    c.TakePatches(aNow, aValue.mValue);
+  });
+}
+
+void
+PlatformFeed::CountBytes(const net::PlatformClient& aClient)
+{
+  const net::CallBytes& bytes = aClient.LastBytes();
+  const std::string help = "Control traffic by kind, without IP headers.";
+  const std::string kind = absl::StrCat("platform_", mName);
+  mMetrics
+    .Counter("foxtail_control_bytes_total",
+             help,
+             { { "kind", kind }, { "direction", "sent" } })
+    .Increment(static_cast<double>(bytes.mSent));
+  mMetrics
+    .Counter("foxtail_control_bytes_total",
+             help,
+             { { "kind", kind }, { "direction", "received" } })
+    .Increment(static_cast<double>(bytes.mReceived));
+  mMetrics
+    .Counter("foxtail_platform_calls_total",
+             "Reads and watches of the platform.",
+             { { "value", mName } })
+    .Increment();
+}
+
+void
+PlatformFeed::NoteFailure(const Error& aError)
+{
+  if (mBackoff == Duration(0)) {
+    daemon::LogEvent(
+      { 8001, absl::StrCat("value=", mName, " why=", aError.what()) });
+    mBackoff = kFirstBackoff;
+    return;
+  }
+  mBackoff = std::min(mBackoff * 2, Duration(kMaxBackoff));
+}
+
+void
+PlatformFeed::NoteSuccess()
+{
+  mBackoff = Duration(0);
+}
+
+Duration
+PlatformFeed::Jittered(Duration aTime)
+{
+  const Duration half = aTime / 2;
+  return half + Duration(mRandom() % (aTime.count() + 1));
+}
+
+} // namespace foxtail::agent
--- /dev/null
+++ b/src/agent/WatchDuty.cpp
@@ -0,0 +1,29 @@
+#include "foxtail/agent/WatchDuty.h"
+
+#include <algorithm>
+
+#include "foxtail/core/Hash.h"
+
+namespace foxtail::agent {
+
+namespace {
+
+// Keeps these ranks apart from those of other rankings by name.
+constexpr uint64_t kSeed = 0x3A7C4;
+
+} // namespace
+
+bool
+WatchesPlatform(const std::string& aName,
+                const std::string& aDomain,
+                const std::vector<membership::Member>& aOthers)
+{
+  const uint64_t own = StableHash(aName, kSeed);
+  const auto ahead = std::count_if(
+    aOthers.begin(), aOthers.end(), [&](const membership::Member& m) {
+      return m.mDomain == aDomain && StableHash(m.mName, kSeed) > own;
+    });
+  return static_cast<size_t>(ahead) < kWatchersPerDomain;
+}
+
+} // namespace foxtail::agent
--- a/src/membership/Detector.cpp
+++ b/src/membership/Detector.cpp
@@ -19,9 +19,9 @@
   return aRecord.mMember.mState == MemberState::Dead;
 }
 
-// True when the record belongs into a view.
+// True when the record names a living balancer, so that views show it.
 bool
-HasBalancer(const MemberRecord& aRecord)
+NamesBalancer(const MemberRecord& aRecord)
 {
   return !IsDead(aRecord) && !aRecord.mBalancerAbsent &&
          aRecord.mMember.mIncarnation != 0;
@@ -78,8 +78,11 @@
 Detector::Detector(const DetectorSettings& aSettings)
   : mSettings(aSettings)
   , mRandom(aSettings.mSeed)
-  , mView(std::make_shared<View>())
 {
+  View none;
+  none.mSequence = aSettings.mIncarnation;
+  none.mInDoubt = true;
+  mView = std::make_shared<const View>(std::move(none));
   mSelf.mMember.mName = aSettings.mName;
   mSelf.mMember.mRegion = aSettings.mRegion;
   mSelf.mMember.mDomain = aSettings.mDomain;
@@ -180,7 +183,7 @@
       aRecord.mAgentIncarnation != mSelf.mAgentIncarnation) {
     // Withdrawn in another life of this agent.
     mBalancer.RaiseFloor(aRecord.mMember.mIncarnation);
-    if (HasBalancer(mSelf) && !mBalancer.Current()) {
+    if (NamesBalancer(mSelf) && !mBalancer.Current()) {
       Announce();
     }
   }
@@ -723,12 +726,12 @@
 void
 Detector::PublishView()
 {
-  if (!mViewDirty) {
+  if (!mViewDirty || mPhase != Phase::Live) {
     return;
   }
   mViewDirty = false;
   View view = BuildView();
-  if (mView->mSequence != 0 && SameView(view, *mView)) {
+  if (SameView(view, *mView)) {
     return;
   }
   view.mSequence = mView->mSequence + 1;
@@ -743,7 +746,7 @@
   std::set<Incarnation> seen;
   for (const MemberRecord* it : RecordsAfter("")) {
     // Of two balancers with one incarnation the first by name counts.
-    if (HasBalancer(*it) && seen.insert(it->mMember.mIncarnation).second) {
+    if (NamesBalancer(*it) && seen.insert(it->mMember.mIncarnation).second) {
       view.mMembers.push_back(ToMember(*it));
     }
   }
--- a/tests/InMemoryFleet.h
+++ b/tests/InMemoryFleet.h
@@ -178,7 +178,7 @@
 
   const membership::View& ViewOf(size_t i) const
   {
-    return mVms[i].mDetector->CurrentView();
+    return *mVms[i].mDetector->CurrentView();
   }
 
   // Every member of VM i's view as "name@incarnation", '*' after those that
