Let an agent without a VM list learn it from a peer that contacts it

Cause: in a trial with seven agents and the platform down, a restarted agent knew no VM, refused everyone and stayed alone; nothing but the platform told it whom to ask. Ruled out: accepting gossip without a list. The unlisted sender is only asked; its list is taken when it names both VMs, and any list read later takes its place. After: AgentCoreTest, an agent that reads nothing gets list, configuration and view of its peers.

--- a/include/foxtail/agent/AgentCore.h
+++ b/include/foxtail/agent/AgentCore.h
@@ -94,6 +94,9 @@
 
   // The fetch to make now; one at a time.
   std::optional<PeerFetch> NextFetch(TimePoint aNow);
+  // Takes the peer's reply; nothing is taken from a peer that is no published
+  // VM. An agent without a list takes one that names both this VM and the
+  // peer, until it reads the first one from the platform or from a peer on it.
   void TakeFetched(TimePoint aNow,
                    const Address& aPeer,
                    std::string_view aReply);
@@ -132,6 +135,10 @@
   bool Follow(TimePoint aNow, const config::OfferResult& aResult);
   void Report(const config::Advanced& aAdvanced);
   void AdoptVms(TimePoint aNow, const nlohmann::json& aValue, uint64_t aIndex);
+  // A list that a peer gave. Throws PlatformError when it is malformed.
+  void AdoptPeerVms(TimePoint aNow,
+                    const Address& aPeer,
+                    const net::ConfigReply& aReply);
   void DropPeerMessage(const Address& aPeer, const std::string& aWhy);
   void DropPlatformAnswer(const std::string& aWhy);
 
--- a/include/foxtail/membership/Detector.h
+++ b/include/foxtail/membership/Detector.h
@@ -115,7 +115,8 @@
 {
   ViewPtr mView;
 };
-// This peer has a newer configuration or VM list than this agent.
+// This peer has a newer configuration or VM list than this agent. An agent
+// that has no list yet says so of whoever sends to it.
 struct PeerAhead
 {
   Address mPeer;
--- a/src/agent/AgentCore.cpp
+++ b/src/agent/AgentCore.cpp
@@ -189,6 +189,35 @@
   Feed(aNow, membership::VmsRead{ vms });
 }
 
+void
+AgentCore::AdoptPeerVms(TimePoint aNow,
+                        const Address& aPeer,
+                        const net::ConfigReply& aReply)
+{
+  std::string reason;
+  const auto value =
+    config::ParseBoundedJson(aReply.mVmsJson, config::kMaxValueBytes, reason);
+  if (!value) {
+    throw PlatformError(820, "vms", reason);
+  }
+  if (!mDetector.Registry().Entries().empty()) {
+    if (mDetector.Registry().PermitsIp(aPeer.mIp)) {
+      AdoptVms(aNow, *value, aReply.mVmsIndex);
+    }
+    return;
+  }
+  const membership::PublishedVms vms = net::ParseVmList(*value, 0);
+  const auto names = [&](uint32_t aIp) {
+    return std::any_of(vms.mVms.begin(), vms.mVms.end(), [&](const auto& it) {
+      return it.mIp == aIp;
+    });
+  };
+  if (names(aPeer.mIp) && names(mSettings.mAgentAddress.mIp)) {
+    // Index zero: any list that is read later takes its place.
+    Feed(aNow, membership::VmsRead{ vms });
+  }
+}
+
 bool
 AgentCore::Follow(TimePoint aNow, const config::OfferResult& aResult)
 {
@@ -288,10 +317,10 @@
   try {
     net::ConfigReply reply = net::DecodeConfigReply(aReply);
     if (!reply.mVmsJson.empty()) {
-      std::string reason;
-      const auto value = config::ParseBoundedJson(
-        reply.mVmsJson, config::kMaxValueBytes, reason);
-      AdoptVms(aNow, value ? *value : json(), reply.mVmsIndex);
+      AdoptPeerVms(aNow, aPeer, reply);
+    }
+    if (!mDetector.Registry().PermitsIp(aPeer.mIp)) {
+      throw PeerError(720, aPeer.ToString(), "no published VM");
     }
     const config::ChainAnswer answer = net::ToAnswer(std::move(reply));
     if (!answer.IsEmpty()) {
--- a/src/agent/LoadTable.cpp
+++ b/src/agent/LoadTable.cpp
@@ -71,7 +71,7 @@
   if (mOrder.empty() || aNow < mNextPoll) {
     return std::nullopt;
   }
-  mNextPoll = std::max(mNextPoll + kPollPeriod, aNow);
+  mNextPoll = aNow + kPollPeriod;
   mTurn = (mTurn + 1) % mOrder.size();
   return mOrder[mTurn];
 }
--- a/src/membership/Detector.cpp
+++ b/src/membership/Detector.cpp
@@ -346,6 +346,10 @@
   const int error = CheckSender(aEvent);
   if (error != 0) {
     mActions.emplace_back(GossipRefused{ error, aEvent.mPeer });
+    if (mRegistry.Entries().empty()) {
+      // Without a list nobody may speak, but whoever does may have one.
+      mActions.emplace_back(PeerAhead{ aEvent.mPeer, false, true });
+    }
     return;
   }
   const Gossip& gossip = aEvent.mGossip;
@@ -596,7 +600,9 @@
   if (unanswered) {
     Suspect(aNow, mProbe->mTarget);
   }
-  mNextProbe = std::max(mNextProbe + kProbePeriod, aNow);
+  // A late probe gets its whole period, too.
+  const bool late = aNow - mNextProbe > kProbeTimeout;
+  mNextProbe = (late ? aNow : mNextProbe) + kProbePeriod;
   StartProbe(aNow);
 }
 
