--- a/tests/standins/CallerMain.cpp
+++ b/tests/standins/CallerMain.cpp
@@ -123,7 +123,7 @@
     for (const Rates& rates : mSettings.mServices) {
       AddLongFlows(rates);
       for (size_t kind = 0; kind < kKinds; ++kind) {
-        ScheduleArrival(rates, static_cast<Kind>(kind));
+        ScheduleArrival(rates, static_cast<Kind>(kind), mStarted);
       }
     }
     mLoop.After(mSettings.mDuration + mSettings.mSettle,
@@ -225,32 +225,33 @@
     mLoop.Stop();
   }
 
-  double CrestFactor() const
+  double CrestFactor(TimePoint aAt) const
   {
-    const Duration since = std::chrono::steady_clock::now() - mStarted;
-    const bool crest =
-      since % Duration(mSettings.mCrests.mPeriod) < mSettings.mCrests.mLength;
+    const bool crest = (aAt - mStarted) % Duration(mSettings.mCrests.mPeriod) <
+                       mSettings.mCrests.mLength;
     return crest ? mSettings.mCrests.mFactor : 1;
   }
 
-  void ScheduleArrival(const Rates& aRates, Kind aKind)
+  // Gaps are counted from the time that the arrival before was due, so that a
+  // late event loop thins nothing out.
+  void ScheduleArrival(const Rates& aRates, Kind aKind, TimePoint aLast)
   {
     const double rate =
-      aRates.mPerSecond[static_cast<size_t>(aKind)] * CrestFactor();
+      aRates.mPerSecond[static_cast<size_t>(aKind)] * CrestFactor(aLast);
     if (rate <= 0) {
       return;
     }
     std::exponential_distribution<> gap(rate);
     const std::chrono::duration<double> wait(gap(mRandom));
-    mLoop.After(std::chrono::duration_cast<Duration>(wait),
-                [this, &aRates, aKind] {
-                  if (ArrivalsEnded()) {
-                    EndWhenDone();
-                    return;
-                  }
-                  Arrive(aRates, aKind);
-                  ScheduleArrival(aRates, aKind);
-                });
+    const TimePoint due = aLast + std::chrono::duration_cast<Duration>(wait);
+    mLoop.At(due, [this, &aRates, aKind, due] {
+      if (ArrivalsEnded()) {
+        EndWhenDone();
+        return;
+      }
+      Arrive(aRates, aKind);
+      ScheduleArrival(aRates, aKind, due);
+    });
   }
 
   void Arrive(const Rates& aRates, Kind aKind)
--- a/tests/standins/EventLoop.cpp
+++ b/tests/standins/EventLoop.cpp
@@ -63,11 +63,16 @@
 }
 
 void
-EventLoop::After(Duration aDelay, Callback aCallback)
+EventLoop::At(TimePoint aDue, Callback aCallback)
 {
-  const TimePoint due = std::chrono::steady_clock::now() + aDelay;
   mTimers.push(
-    { due, mOrder++, std::make_shared<Callback>(std::move(aCallback)) });
+    { aDue, mOrder++, std::make_shared<Callback>(std::move(aCallback)) });
+}
+
+void
+EventLoop::After(Duration aDelay, Callback aCallback)
+{
+  At(std::chrono::steady_clock::now() + aDelay, std::move(aCallback));
 }
 
 void
--- a/tests/standins/EventLoop.h
+++ b/tests/standins/EventLoop.h
@@ -28,7 +28,8 @@
   void Watch(int aFd, Callback aCallback);
   void Unwatch(int aFd);
 
-  // Calls aCallback once, after aDelay.
+  // Calls aCallback once, at aDue or as soon as possible after it.
+  void At(TimePoint aDue, Callback aCallback);
   void After(Duration aDelay, Callback aCallback);
 
   // Ends Run on SIGTERM or SIGINT. Call before any thread is started.
