--- /dev/null
+++ b/src/routing/SlotShare.cpp
@@ -0,0 +1,68 @@
+#include "foxtail/routing/SlotShare.h"
+
+#include <algorithm>
+
+#include "foxtail/core/Hash.h"
+
+namespace foxtail::routing {
+
+void
+SlotShare::SetBalancers(std::vector<uint64_t> aIncarnations, uint64_t aOwn)
+{
+  aIncarnations.push_back(aOwn);
+  std::sort(aIncarnations.begin(), aIncarnations.end());
+  aIncarnations.erase(std::unique(aIncarnations.begin(), aIncarnations.end()),
+                      aIncarnations.end());
+  const auto own =
+    std::lower_bound(aIncarnations.begin(), aIncarnations.end(), aOwn);
+  mCount = static_cast<uint32_t>(aIncarnations.size());
+  mRank = static_cast<uint32_t>(own - aIncarnations.begin());
+}
+
+void
+SlotShare::SetSnapshot(const config::Snapshot& aSnapshot)
+{
+  mHome.assign(aSnapshot.mUpstreams.size(), 0);
+  mHomeWithQueue.assign(aSnapshot.mUpstreams.size(), 0);
+  for (const config::Service& it : aSnapshot.mServices) {
+    Assign(aSnapshot, it);
+  }
+}
+
+uint32_t
+SlotShare::Part(uint32_t aAmount) const
+{
+  // Rounded so that the parts of all ranks add up to the amount.
+  return (aAmount + mRank) / mCount;
+}
+
+void
+SlotShare::Assign(const config::Snapshot& aSnapshot,
+                  const config::Service& aService)
+{
+  std::vector<config::UpstreamIndex> order = aService.mUpstreams;
+  std::sort(order.begin(),
+            order.end(),
+            [&](config::UpstreamIndex a, config::UpstreamIndex b) {
+              return aSnapshot.mUpstreams[a].mId < aSnapshot.mUpstreams[b].mId;
+            });
+  // Services start at different balancers, so that small ones spread.
+  uint32_t next = static_cast<uint32_t>(StableHash(aService.mName) % mCount);
+  bool more = true;
+  for (uint32_t slot = 0; more; ++slot) {
+    more = false;
+    for (const config::UpstreamIndex it : order) {
+      const uint32_t slots = aSnapshot.mUpstreams[it].mSlots;
+      if (slot > slots) {
+        continue;
+      }
+      more = true;
+      const uint32_t own = next == mRank ? 1 : 0;
+      mHome[it] += slot < slots ? own : 0;
+      mHomeWithQueue[it] += own;
+      next = (next + 1) % mCount;
+    }
+  }
+}
+
+} // namespace foxtail::routing
