Refuse requests that outgrow a datagram and deepen the exploration

Cause: with a token of eight bytes a request of up to 1,400 bytes could become one that its receiver drops; and a leaving balancer handed a posting with its own expired Echo value to the owner, which would have handed it back until the hop limit. Both are refused as not run now, by rules that hold for every copy.

Nine faults put into a scratch copy one at a time showed gaps: a constant incarnation tag and a value used again after its answer was forgotten passed the explorer. Two cases more (one balancer that forgets, depth 14; one that is replaced between two postings, depth 12) and a unit case find them now.

--- a/include/foxtail/requests/RequestTable.h
+++ b/include/foxtail/requests/RequestTable.h
@@ -343,12 +343,15 @@
   RequestAction OnDecidedEcho(const Incoming& aIn, const EchoCheck& aCheck);
   RequestAction AnswerDuplicate(Slot aSlot);
   RequestAction MakeChallenge(const Incoming& aIn);
+  // For requests whose Echo value names this incarnation.
+  RequestAction ChallengeAnew(const Incoming& aIn);
   // Requests that are not idempotent come with the counter of their Echo
   // value.
   RequestAction StartOrRefuse(const Incoming& aIn,
                               std::optional<uint64_t> aEchoCounter);
   RequestAction ConcludeUnknown(const Incoming& aIn, std::string_view aText);
   RequestAction ConcludeRefused(const Incoming& aIn, const Refusal& aRefusal);
+  RequestAction ConcludeTooLarge(const Incoming& aIn);
 
   static bool IsSameMessage(const Entry& aEntry, const Incoming& aIn);
   Slot FindDuplicate(const Incoming& aIn) const;
--- a/src/requests/RequestTable.cpp
+++ b/src/requests/RequestTable.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr uint64_t kTagSeed = 0x746167;
+// Header and token of a datagram to an upstream.
+constexpr size_t kUpstreamHeaderSize = 12;
 constexpr seconds kRefusalRetryAfter{ 1 };
 // Identity of an Echo value among the messages of a flow. Requests without one
 // that would need it are the same as no other message.
@@ -32,11 +34,15 @@
   return static_cast<uint32_t>(MixHash(kTagSeed, aIncarnation));
 }
 
+// A property of the datagram alone, so that every balancer tells the same.
 bool
-NeedsSeveralDatagrams(const coap::Message& aRequest)
+FitsOneDatagram(const coap::Message& aRequest)
 {
-  return aRequest.mBlock1 &&
-         (aRequest.mBlock1->mMore || aRequest.mBlock1->mNumber > 0);
+  const bool isBlock =
+    !aRequest.IsIdempotent() && aRequest.mBlock1 &&
+    (aRequest.mBlock1->mMore || aRequest.mBlock1->mNumber > 0);
+  return !isBlock &&
+         kUpstreamHeaderSize + aRequest.mBody.size() <= coap::kMaxDatagram;
 }
 
 } // namespace
@@ -60,6 +66,9 @@
     aNow,  aDeadline
   };
   SupersedeOthers(in);
+  if (!FitsOneDatagram(aRequest)) {
+    return ConcludeTooLarge(in);
+  }
   if (aRequest.IsIdempotent()) {
     return OnIdempotent(in);
   }
@@ -79,15 +88,6 @@
 RequestAction
 RequestTable::OnNonIdempotent(const Incoming& aIn, EchoIssuerPresence aPresence)
 {
-  if (NeedsSeveralDatagrams(aIn.mMessage)) {
-    ++mCounters.mRefused;
-    MakeAnswer({ coap::kTooLarge,
-                 "",
-                 std::nullopt,
-                 "not run: the request must fit one datagram" },
-               HeaderFor(aIn.mMessage));
-    return Conclude{ mOut, false };
-  }
   if (!aIn.mMessage.mEcho) {
     return MakeChallenge(aIn);
   }
@@ -114,10 +114,10 @@
     case EchoVerdict::Forged:
     case EchoVerdict::OtherRequest:
       // No message with this value and this digest is ever run.
-      return MakeChallenge(aIn);
+      return ChallengeAnew(aIn);
     case EchoVerdict::Expired:
       mEcho.SetState(check.mCounter, EchoState::Void);
-      return MakeChallenge(aIn);
+      return ChallengeAnew(aIn);
     case EchoVerdict::OtherFlow:
       return ConcludeUnknown(aIn, "it was admitted from another address");
     case EchoVerdict::Forgotten:
@@ -174,6 +174,19 @@
   return Challenge{ mOut };
 }
 
+RequestAction
+RequestTable::ChallengeAnew(const Incoming& aIn)
+{
+  if (!mLeaving) {
+    return MakeChallenge(aIn);
+  }
+  // The owner would hand it back, as its Echo value names this balancer.
+  return ConcludeRefused(aIn,
+                         { RefusalCause::Unavailable,
+                           "the balancer is leaving",
+                           kRefusalRetryAfter });
+}
+
 RequestAction
 RequestTable::StartOrRefuse(const Incoming& aIn,
                             std::optional<uint64_t> aEchoCounter)
@@ -219,6 +232,18 @@
   return Conclude{ mOut, false };
 }
 
+RequestAction
+RequestTable::ConcludeTooLarge(const Incoming& aIn)
+{
+  ++mCounters.mRefused;
+  MakeAnswer({ coap::kTooLarge,
+               "",
+               std::nullopt,
+               "not run: the request must fit one datagram" },
+             HeaderFor(aIn.mMessage));
+  return Conclude{ mOut, false };
+}
+
 bool
 RequestTable::IsSameMessage(const Entry& aEntry, const Incoming& aIn)
 {
--- a/tests/contracts/AtMostOnceTest.cpp
+++ b/tests/contracts/AtMostOnceTest.cpp
@@ -37,6 +37,10 @@
     { "two postings, two balancers", { 7, 2, 2, 2, 1, 1, 0, 1, false } },
     { "one posting, one balancer, two upstreams, copies to upstreams",
       { 11, 1, 1, 2, 2, 0, 1, 2, false } },
+    { "one posting, one balancer that forgets its answer",
+      { 14, 1, 1, 2, 1, 0, 1, 1, false } },
+    { "two postings, one balancer that is replaced",
+      { 12, 1, 2, 1, 1, 1, 0, 1, false } },
     { "one posting, its datagrams replayed from another address",
       { 9, 2, 1, 1, 1, 1, 1, 1, true } },
   };
--- a/tests/unit/RequestTableTest.cpp
+++ b/tests/unit/RequestTableTest.cpp
@@ -211,6 +211,18 @@
   }
 }
 
+TEST_CASE("A request must fit one datagram to an upstream", "[requests]")
+{
+  Fixture f;
+  RequestBytes request;
+  request.mCode = GENERATE(coap::kGet, coap::kPost);
+  // Uri-Path and payload marker take 5 bytes, header and token 12.
+  request.mPayload.assign(coap::kMaxDatagram - 17, '5');
+  CHECK(f.Answer(request) != "4.13 not run");
+  request.mPayload.push_back('5');
+  CHECK(f.Answer(request) == "4.13 not run");
+}
+
 TEST_CASE("Answers that match no running request", "[requests]")
 {
   Fixture f;
@@ -233,6 +245,13 @@
     token[4] ^= 1;
     CHECK(isStale(token, kUpstream));
   }
+  SECTION("for the same serial number of the life before")
+  {
+    Fixture restarted(Settings(kSelf + 10));
+    restarted.Send(restarted.Start(restarted.Admit({})));
+    const auto late = restarted.Reply(sent, coap::kContent, "done");
+    CHECK(std::holds_alternative<Stale>(late.mAction));
+  }
   SECTION("for another serial number")
   {
     token[11] ^= 1;
@@ -400,6 +419,8 @@
   SECTION("a value that is never used expires")
   {
     f.mNow += seconds(15);
+    // Handed over, it would come back.
+    CHECK(f.Answer(posting) == "5.3 not run");
     CHECK_FALSE(f.mTable.HasOutstanding(f.mNow));
   }
   SECTION("a posting is finished and its answer stays for a while")
