--- /dev/null
+++ b/src/routing/UpstreamChoice.cpp
@@ -0,0 +1,77 @@
+#include "UpstreamChoice.h"
+
+#include <algorithm>
+
+namespace foxtail::routing {
+
+namespace {
+
+// A free slot of the own share outweighs this many others.
+constexpr int kHomeWeight = 2;
+
+bool
+WasTried(const Tried& aTried, config::UpstreamIndex aUpstream)
+{
+  return std::find(aTried.begin(), aTried.end(), aUpstream) != aTried.end();
+}
+
+} // namespace
+
+int
+RankUpstream(const UpstreamTable& aTable,
+             config::UpstreamIndex aUpstream,
+             const Tried& aTried,
+             const ChoiceRules& aRules,
+             TimePoint aNow)
+{
+  if (WasTried(aTried, aUpstream)) {
+    return 0;
+  }
+  const int room = aTable.Room(aUpstream, aNow);
+  if (aRules.mUseHomeSlots &&
+      aTable.HomeRoom(aUpstream, aRules.mBacklog, aNow) >= 1) {
+    return kHomeWeight + std::max(room, 0);
+  }
+  return aRules.mMayBorrow ? std::max(room, 0) : 0;
+}
+
+bool
+IsGoodDefault(const UpstreamTable& aTable,
+              config::UpstreamIndex aDefault,
+              const Tried& aTried,
+              const ChoiceRules& aRules,
+              TimePoint aNow)
+{
+  return aDefault != config::kNoIndex && aTable.IsCandidate(aDefault) &&
+         RankUpstream(aTable, aDefault, aTried, aRules, aNow) >= 1;
+}
+
+config::UpstreamIndex
+ChooseUpstream(const UpstreamTable& aTable,
+               config::ServiceIndex aService,
+               config::UpstreamIndex aDefault,
+               const Tried& aTried,
+               const ChoiceRules& aRules,
+               uint64_t aRandom,
+               TimePoint aNow)
+{
+  if (IsGoodDefault(aTable, aDefault, aTried, aRules, aNow)) {
+    return aDefault;
+  }
+  const auto& candidates = aTable.PoolOf(aService).mCandidates;
+  config::UpstreamIndex best = config::kNoIndex;
+  int bestScore = 0;
+  for (size_t n = 0; n < candidates.size(); ++n) {
+    const auto it = candidates[(aRandom + n) % candidates.size()];
+    const int rank = RankUpstream(aTable, it, aTried, aRules, aNow);
+    // The default one wins ties, the first one otherwise.
+    const int score = rank == 0 ? 0 : 2 * rank + (it == aDefault ? 1 : 0);
+    if (score > bestScore) {
+      best = it;
+      bestScore = score;
+    }
+  }
+  return best;
+}
+
+} // namespace foxtail::routing
