--- a/include/foxtail/routing/Dispatcher.h
+++ b/include/foxtail/routing/Dispatcher.h
@@ -61,7 +61,7 @@
                    TimePoint aNow);
 
   // Forgets a peer that left or died.
-  void OnPeerGone(uint64_t aIncarnation, TimePoint aNow);
+  void OnPeerGone(uint64_t aIncarnation);
 
   // What peers need to know of this balancer's requests. Upstreams that are
   // absent have none.
--- a/src/routing/Dispatcher.cpp
+++ b/src/routing/Dispatcher.cpp
@@ -82,6 +82,10 @@
   void Tick(TimePoint aNow, WorkActions& aActions);
   std::optional<TimePoint> NextTick() const;
   std::vector<LoadReport> LocalLoads(TimePoint aNow) const;
+  void OnPeerGone(uint64_t aIncarnation)
+  {
+    mTable.OnPeerGone(aIncarnation, mNow);
+  }
 
   UpstreamTable mTable;
   std::vector<ServiceQueue> mQueues;
@@ -838,9 +842,9 @@
 }
 
 void
-Dispatcher::OnPeerGone(uint64_t aIncarnation, TimePoint aNow)
+Dispatcher::OnPeerGone(uint64_t aIncarnation)
 {
-  mImpl->mTable.OnPeerGone(aIncarnation, aNow);
+  mImpl->OnPeerGone(aIncarnation);
 }
 
 std::vector<LoadReport>
--- a/tests/unit/DispatcherDifferentialTest.cpp
+++ b/tests/unit/DispatcherDifferentialTest.cpp
@@ -25,7 +25,7 @@
   }
   void OnReport(const LoadReport&, TimePoint) {}
   void OnPeerLoads(uint64_t, const std::vector<LoadReport>&, TimePoint) {}
-  void OnPeerGone(uint64_t, TimePoint) {}
+  void OnPeerGone(uint64_t) {}
   void Submit(const Work& aWork, TimePoint aNow, WorkActions& aActions)
   {
     mWorks[aWork.mSerial] = aWork;
@@ -236,7 +236,7 @@
     mDispatcher.OnReport(report, mNow);
     mDispatcher.OnPeerLoads(Draw(6) + 2, { report, report }, mNow);
     if (Draw(4) == 0) {
-      mDispatcher.OnPeerGone(Draw(6) + 2, mNow);
+      mDispatcher.OnPeerGone(Draw(6) + 2);
     }
   }
 
--- a/tests/unit/DispatcherTest.cpp
+++ b/tests/unit/DispatcherTest.cpp
@@ -384,7 +384,7 @@
   SECTION("a peer that is gone holds nothing")
   {
     bench.Finish(1, Outcome::Answered);
-    bench.mDispatcher.OnPeerGone(2, bench.mNow);
+    bench.mDispatcher.OnPeerGone(2);
     CHECK(bench.SentTo(bench.Submit(config::kNoIndex, 10s, flow)) == preferred);
   }
 }
