Serve end to end: the balancer daemon and its parts

Ruled out: the status server reading the balancer from its own threads; every other thread reaches it by the data path's mailbox.

--- /dev/null
+++ b/include/foxtail/balancerd/DataPath.h
@@ -0,0 +1,86 @@
+#ifndef foxtail_balancerd_DataPath_h
+#define foxtail_balancerd_DataPath_h
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "foxtail/balancer/Balancer.h"
+#include "foxtail/balancerd/Mailbox.h"
+#include "foxtail/balancerd/PeerSender.h"
+#include "foxtail/daemon/Metrics.h"
+#include "foxtail/daemon/Settings.h"
+#include "foxtail/daemon/Supervisor.h"
+#include "foxtail/daemon/Trace.h"
+#include "foxtail/net/UdpSocket.h"
+
+namespace foxtail::balancerd {
+
+// Incarnation numbers of this VM's balancers; greater from call to call.
+routing::Incarnation
+NewIncarnation();
+
+// Moves datagrams between the sockets and the balancer. The balancer lives
+// here and is touched by no other thread; others use the mailbox.
+class DataPath
+{
+public:
+  // Throws NetError 630 or 631 when a socket cannot be had.
+  DataPath(const daemon::Settings& aSettings,
+           Mailbox& aMailbox,
+           PeerSender& aSender);
+
+  // Body of the supervised part.
+  void Run(const daemon::StopToken& aStop);
+
+  routing::Incarnation Incarnation() const { return mIncarnation; }
+
+  // Starts the balancer anew under an incarnation greater than aFloor; the
+  // caller posts view and configuration again. Only within a mailbox task.
+  void Renew(routing::Incarnation aFloor);
+
+  // Peers whose datagrams are taken, by IP number. Only within a mailbox task.
+  void SetPeers(std::vector<uint32_t> aIps);
+
+  uint64_t UnauthorisedDatagrams() const { return mUnauthorised; }
+
+private:
+  void MakeBalancer(TimePoint aNow);
+  void ReceiveFrom(net::UdpSocket& aSocket, bool aIsPeer, TimePoint aNow);
+  void OnEncapsulated(const net::Datagram& aDatagram,
+                      bool aIsPeer,
+                      TimePoint aNow);
+  bool IsAllowed(const Address& aFrom, bool aIsPeer) const;
+  void ReceiveFromUpstreams(TimePoint aNow);
+  void CarryOut();
+  void Do(const balancer::ToCaller& aAction);
+  void Do(const balancer::ToUpstream& aAction);
+  void Do(const balancer::ToPeer& aAction);
+  void Do(const balancer::TellRecords& aAction);
+  void Do(const balancer::TellLoads& aAction);
+  void Do(const balancer::Hop& aAction);
+  void Do(const balancer::Report& aAction);
+
+  daemon::Settings mSettings;
+  Mailbox& mMailbox;
+  PeerSender& mSender;
+  daemon::Trace mTrace;
+  net::UdpSocket mFabric;
+  net::UdpSocket mHandoff;
+  net::UdpSocket mUpstream;
+  std::atomic<routing::Incarnation> mIncarnation;
+  std::unique_ptr<balancer::Balancer> mBalancer;
+  balancer::Actions mActions;
+  std::string mBuffer;
+  std::vector<uint32_t> mPeerIps;
+  std::atomic<uint64_t> mUnauthorised{ 0 };
+  TimePoint mLastTick;
+  // Lines of each event logged in the current second.
+  std::map<int, int> mLogged;
+  TimePoint mLogSecond;
+};
+
+} // namespace foxtail::balancerd
+
+#endif
--- /dev/null
+++ b/include/foxtail/balancerd/PeerSender.h
@@ -0,0 +1,63 @@
+#ifndef foxtail_balancerd_PeerSender_h
+#define foxtail_balancerd_PeerSender_h
+
+#include <condition_variable>
+#include <deque>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+#include "foxtail/balancer/Actions.h"
+#include "foxtail/daemon/Metrics.h"
+#include "foxtail/daemon/Supervisor.h"
+#include "foxtail/net/NngLink.h"
+
+namespace foxtail::balancerd {
+
+// Sends flow records and loads to peers, apart from the data path so that a
+// slow peer holds nothing up.
+class PeerSender
+{
+public:
+  // aFromIp is the VM's own address, by which peers know it.
+  PeerSender(uint32_t aFromIp, daemon::Metrics& aMetrics);
+
+  // Thread-safe. Messages beyond the queue's limit are dropped and counted.
+  void Send(const balancer::TellRecords& aTell, routing::Incarnation aSelf);
+  void Send(const balancer::TellLoads& aTell, routing::Incarnation aSelf);
+
+  // Body of the supervised part.
+  void Run(const daemon::StopToken& aStop);
+
+  // True when everything was handed to the network.
+  bool IsIdle();
+
+private:
+  struct Message
+  {
+    Address mPeer;
+    std::string mBytes;
+  };
+  struct Link
+  {
+    std::unique_ptr<net::PushClient> mClient;
+    TimePoint mUsed;
+  };
+
+  void Enqueue(Message aMessage, const char* aKind);
+  void Deliver(const Message& aMessage);
+  void CloseUnused();
+
+  uint32_t mFromIp;
+  daemon::Metrics& mMetrics;
+  std::mutex mMutex;
+  std::condition_variable mFilled;
+  std::deque<Message> mQueue;
+  bool mIsBusy = false;
+  std::map<Address, Link> mLinks;
+};
+
+} // namespace foxtail::balancerd
+
+#endif
--- a/src/agent/Agent.cpp
+++ b/src/agent/Agent.cpp
@@ -10,6 +10,7 @@
 #include "foxtail/agent/PeerLinks.h"
 #include "foxtail/agent/PlatformFeed.h"
 #include "foxtail/agent/SharedCore.h"
+#include "foxtail/core/Error.h"
 #include "foxtail/core/Hash.h"
 #include "foxtail/daemon/Log.h"
 #include "foxtail/daemon/Process.h"
@@ -108,30 +109,41 @@
         return StatusText(c, mSettings.mVm.mName);
       });
     });
+    mStatus.Serve("/ready", "application/json", [=](const auto&) {
+      mCore.With([](AgentCore& c, TimePoint) {
+        if (!c.Chain().Current()) {
+          throw DaemonError(911, "agent", "no configuration yet");
+        }
+      });
+      return std::string("{\"ready\": true}\n");
+    });
     mStatus.Serve("/metrics", "text/plain", [=](const auto&) {
       mCore.With([&](AgentCore& c, TimePoint) { UpdateMetrics(c, mMetrics); });
       return mMetrics.Text();
     });
   }
 
-  // Until the peers have heard of the leave and the balancer has ended.
+  // The balancer announces its own leave once its flows are handed over; the
+  // VM follows when it has ended or the drain time has passed.
   void Drain()
   {
     daemon::LogEvent({ 1002, "" });
-    mCore.With([](AgentCore& c, TimePoint aNow) { c.Leave(aNow); });
     const TimePoint start = std::chrono::steady_clock::now();
-    Duration elapsed{ 0 };
-    bool balancer = true;
-    while (elapsed < kLeaveNotice ||
-           (balancer && elapsed < mSettings.mLimits.mDrain)) {
+    while (HasBalancer() && std::chrono::steady_clock::now() - start <
+                              mSettings.mLimits.mDrain) {
       std::this_thread::sleep_for(kLookForSignal);
-      elapsed = std::chrono::steady_clock::now() - start;
-      balancer = mCore.With(
-        [](AgentCore& c, TimePoint) { return c.Members().HasBalancer(); });
     }
+    mCore.With([](AgentCore& c, TimePoint aNow) { c.Leave(aNow); });
+    std::this_thread::sleep_for(kLeaveNotice);
     mCore.With([](AgentCore& c, TimePoint aNow) { c.Stop(aNow); });
   }
 
+  bool HasBalancer()
+  {
+    return mCore.With(
+      [](AgentCore& c, TimePoint) { return c.Members().HasBalancer(); });
+  }
+
   daemon::Settings mSettings;
   membership::DetectorSettings mDetectorSettings;
   daemon::Metrics mMetrics;
--- /dev/null
+++ b/src/balancerd/AgentLink.cpp
@@ -0,0 +1,212 @@
+#include "foxtail/balancerd/AgentLink.h"
+
+#include "absl/strings/str_cat.h"
+#include "foxtail/core/Error.h"
+#include "foxtail/daemon/Log.h"
+#include "foxtail/net/PeerCodec.h"
+
+namespace foxtail::balancerd {
+
+namespace {
+
+constexpr milliseconds kInterval{ 250 };
+constexpr milliseconds kTimeout{ 1000 };
+
+TimePoint
+Now()
+{
+  return std::chrono::steady_clock::now();
+}
+
+} // namespace
+
+AgentLink::AgentLink(const daemon::Settings& aSettings,
+                     Mailbox& aMailbox,
+                     DataPath& aDataPath,
+                     daemon::Metrics& aMetrics)
+  : mSettings(aSettings)
+  , mMailbox(aMailbox)
+  , mDataPath(aDataPath)
+  , mMetrics(aMetrics)
+  , mLastAnswer(Now().time_since_epoch().count())
+{
+}
+
+Duration
+AgentLink::AnswerAge() const
+{
+  return Now() - TimePoint(TimePoint::duration(mLastAnswer));
+}
+
+membership::Member
+AgentLink::Self() const
+{
+  membership::Member self;
+  self.mName = mSettings.mVm.mName;
+  self.mRegion = mSettings.mVm.mRegion;
+  self.mDomain = mSettings.mVm.mDomain;
+  self.mIncarnation = mDataPath.Incarnation();
+  self.mState = mIsLeaving ? membership::MemberState::Leaving
+                           : membership::MemberState::Alive;
+  self.mHandoffAddress = mSettings.At(mSettings.mPorts.mHandoff);
+  self.mPeerAddress = mSettings.At(mSettings.mPorts.mPeer);
+  self.mAgentAddress = mSettings.At(mSettings.mPorts.mAgent);
+  return self;
+}
+
+void
+AgentLink::Run(const daemon::StopToken& aStop)
+{
+  net::RequestClient client(mSettings.At(mSettings.mPorts.mLocal),
+                            net::kMaxLocalReplySize,
+                            mSettings.mVm.mIp);
+  do {
+    try {
+      Exchange(client);
+      mIsConnected = true;
+    } catch (const PeerError& e) {
+      if (mIsConnected) {
+        daemon::LogEvent({ 3002, absl::StrCat("agent=silent ", e.what()) });
+      }
+      mIsConnected = false;
+    }
+  } while (!aStop.WaitFor(kInterval));
+}
+
+void
+AgentLink::Exchange(net::RequestClient& aClient)
+{
+  const bool isLeaving = mIsLeaving;
+  net::LocalRequest request;
+  request.mSelf = Self();
+  request.mViewSequence = mViewSequence;
+  const config::ChainPoint& point = mChain.Point();
+  request.mConfig = { point.mVersion.mNumber,
+                      point.mVersion.mDigest,
+                      point.mPosition };
+  OnReply(net::DecodeLocalReply(aClient.Ask(net::Encode(request), kTimeout)));
+  mLastAnswer = Now().time_since_epoch().count();
+  mLeaveTold = isLeaving;
+}
+
+void
+AgentLink::SayEnded()
+{
+  try {
+    net::RequestClient client(mSettings.At(mSettings.mPorts.mLocal),
+                              net::kMaxLocalReplySize,
+                              mSettings.mVm.mIp);
+    net::LocalRequest request;
+    request.mSelf = Self();
+    request.mSelf.mState = membership::MemberState::Dead;
+    client.Ask(net::Encode(request), kTimeout);
+  } catch (const PeerError&) {
+    // The agent has ended first, or notices the missing heartbeats.
+  }
+}
+
+void
+AgentLink::OnReply(const net::LocalReply& aReply)
+{
+  if (aReply.mRefusedIncarnation != 0) {
+    Renew(aReply.mRefusedIncarnation);
+    return;
+  }
+  TakeConfig(aReply.mConfig);
+  TakeView(aReply);
+  TakeLoads(aReply);
+}
+
+// Peers take this balancer for gone, so what it promised is void: it starts
+// anew, knowing nothing.
+void
+AgentLink::Renew(routing::Incarnation aFloor)
+{
+  mViewSequence = 0;
+  mMailbox.Post([this, aFloor, snapshot = mChain.Current()](balancer::Balancer&,
+                                                            TimePoint aNow) {
+    mDataPath.Renew(aFloor);
+    if (snapshot) {
+      mMailbox.Post([snapshot](balancer::Balancer& b, TimePoint aLater) {
+        b.SetSnapshot(snapshot, aLater);
+      });
+    }
+  });
+  daemon::LogEvent({ 3003, absl::StrCat("floor=", aFloor) });
+}
+
+void
+AgentLink::TakeView(const net::LocalReply& aReply)
+{
+  if (aReply.mMembers.empty()) {
+    return;
+  }
+  auto view = std::make_shared<membership::View>();
+  view->mSequence = aReply.mViewSequence;
+  view->mMembers = aReply.mMembers;
+  view->mInDoubt = aReply.mViewInDoubt;
+  std::vector<uint32_t> ips;
+  for (const membership::Member& it : view->mMembers) {
+    ips.push_back(it.mHandoffAddress.mIp);
+  }
+  mViewSequence = aReply.mViewSequence;
+  daemon::LogEvent({ 3001,
+                     absl::StrCat("members=",
+                                  view->mMembers.size(),
+                                  " sequence=",
+                                  view->mSequence,
+                                  " in_doubt=",
+                                  view->mInDoubt) });
+  mMailbox.Post([this, view, ips](balancer::Balancer& b, TimePoint aNow) {
+    mDataPath.SetPeers(ips);
+    b.SetView(view, aNow);
+  });
+}
+
+void
+AgentLink::TakeConfig(const net::ConfigReply& aReply)
+{
+  if (aReply.mDocumentJson.empty() && aReply.mPatchesJson.empty()) {
+    return;
+  }
+  config::ChainAnswer answer;
+  answer.mPoint = { { aReply.mVersion.mNumber, aReply.mVersion.mDigest },
+                    aReply.mVersion.mPosition };
+  answer.mDocument = aReply.mDocumentJson;
+  answer.mPatches = aReply.mPatchesJson;
+  const config::Version before = mChain.Point().mVersion;
+  try {
+    mChain.Offer(answer);
+  } catch (const ConfigError& e) {
+    daemon::LogEvent({ 2002, e.what() });
+    return;
+  }
+  if (mChain.Point().mVersion == before || !mChain.Current()) {
+    return;
+  }
+  daemon::LogEvent(
+    { 2001, absl::StrCat("number=", mChain.Point().mVersion.mNumber) });
+  mMailbox.Post(
+    [snapshot = mChain.Current()](balancer::Balancer& b, TimePoint aNow) {
+      b.SetSnapshot(snapshot, aNow);
+    });
+}
+
+void
+AgentLink::TakeLoads(const net::LocalReply& aReply)
+{
+  if (aReply.mLoads.empty()) {
+    return;
+  }
+  const TimePoint now = Now();
+  std::vector<routing::LoadReport> reports;
+  for (const net::UpstreamLoad& it : aReply.mLoads) {
+    reports.push_back(
+      { it.mUpstream, it.mInFlight, it.mHealthy, it.mDraining, now - it.mAge });
+  }
+  mMailbox.Post([reports](balancer::Balancer& b, TimePoint aNow) {
+    b.OnReports(reports, aNow);
+  });
+}
+
+} // namespace foxtail::balancerd
--- /dev/null
+++ b/src/balancerd/BalancerDaemon.cpp
@@ -0,0 +1,265 @@
+#include "foxtail/balancerd/BalancerDaemon.h"
+
+#include <thread>
+
+#include "absl/strings/str_cat.h"
+#include "balancerd/Status.h"
+#include "foxtail/balancerd/AgentLink.h"
+#include "foxtail/balancerd/DataPath.h"
+#include "foxtail/balancerd/PeerSender.h"
+#include "foxtail/core/Error.h"
+#include "foxtail/daemon/Log.h"
+#include "foxtail/daemon/Process.h"
+#include "foxtail/daemon/StatusServer.h"
+#include "foxtail/net/PeerCodec.h"
+
+namespace foxtail::balancerd {
+
+namespace {
+
+using daemon::StopToken;
+
+constexpr milliseconds kLookForSignal{ 20 };
+constexpr milliseconds kReceiveTimeout{ 200 };
+// Peers have heard of a leave after this time.
+constexpr seconds kLeaveIsHeard{ 3 };
+
+TimePoint
+Now()
+{
+  return std::chrono::steady_clock::now();
+}
+
+routing::RecordBatch
+ToBatch(const net::FlowRecords& aMessage)
+{
+  routing::RecordBatch batch;
+  batch.mTo = aMessage.mGrantTo;
+  batch.mGrant = aMessage.mGrantTo != 0;
+  batch.mConfigNumber = aMessage.mConfigNumber;
+  for (const net::UpstreamFlows& it : aMessage.mRecords) {
+    for (const uint32_t fingerprint : it.mFingerprints) {
+      batch.mRecords.push_back({ fingerprint, it.mUpstream });
+    }
+  }
+  return batch;
+}
+
+std::vector<routing::LoadReport>
+ToReports(const net::FlowRecords& aMessage, TimePoint aNow)
+{
+  std::vector<routing::LoadReport> reports;
+  for (const net::UpstreamLoad& it : aMessage.mLoads) {
+    reports.push_back(
+      { it.mUpstream, it.mInFlight, it.mHealthy, it.mDraining, aNow });
+  }
+  return reports;
+}
+
+} // namespace
+
+struct BalancerDaemon::State
+{
+  explicit State(const daemon::Settings& aSettings)
+    : mSettings(aSettings)
+    , mSender(aSettings.mVm.mIp, mMetrics)
+    , mDataPath(aSettings, mMailbox, mSender)
+    , mLink(aSettings, mMailbox, mDataPath, mMetrics)
+    , mTree("balancer", daemon::LogEvent)
+  {
+    mTree.Add("peer-sender", [=](const StopToken& t) { mSender.Run(t); });
+    mTree.Add("data-path", [=](const StopToken& t) { mDataPath.Run(t); });
+    mTree.Add("peer-receiver", [=](const StopToken& t) { ReceivePeers(t); });
+    mTree.Add("agent-link", [=](const StopToken& t) { mLink.Run(t); });
+    ServeStatus();
+  }
+
+  void ReceivePeers(const StopToken& aStop)
+  {
+    net::PullServer server(mSettings.At(mSettings.mPorts.mPeer),
+                           net::kMaxFlowRecordsSize);
+    while (!aStop.IsRequested()) {
+      const auto message = server.Receive(kReceiveTimeout);
+      if (message) {
+        TakePeerMessage(*message);
+      }
+    }
+  }
+
+  void DropPeerMessage(const std::string& aWhy)
+  {
+    mMetrics
+      .Counter("foxtail_peer_messages_refused_total",
+               "Peer messages dropped as malformed or unauthorised.")
+      .Increment();
+    daemon::LogEvent({ 7001, aWhy });
+  }
+
+  void TakePeerMessage(const net::NngMessage& aMessage)
+  {
+    try {
+      const auto records = net::DecodeFlowRecords(aMessage.mBytes);
+      mMailbox.Post([this, records, ip = aMessage.mPeer.mIp](
+                      balancer::Balancer& b, TimePoint aNow) {
+        const membership::Member* sender =
+          b.CurrentView() ? b.CurrentView()->FindIncarnation(records.mSender)
+                          : nullptr;
+        if (sender == nullptr || sender->mPeerAddress.mIp != ip) {
+          DropPeerMessage("sender is not in the view");
+          return;
+        }
+        if (records.mHasLoads) {
+          b.OnPeerLoads(records.mSender, ToReports(records, aNow), aNow);
+        }
+        if (!records.mRecords.empty() || records.mGrantTo != 0) {
+          b.OnPeerRecords(records.mSender, ToBatch(records), aNow);
+        }
+      });
+    } catch (const PeerError& e) {
+      DropPeerMessage(e.what());
+    }
+  }
+
+  StatusContext Context() const
+  {
+    return { mSettings.mVm.mName,
+             mDataPath.Incarnation(),
+             mLink.AnswerAge(),
+             mDataPath.UnauthorisedDatagrams() };
+  }
+
+  // Answers with what aMake returns for the balancer.
+  template<typename Make>
+  std::string AskText(Make aMake)
+  {
+    const auto text = std::make_shared<std::string>();
+    mMailbox.Ask([text, aMake](balancer::Balancer& b, TimePoint aNow) {
+      *text = aMake(b, aNow);
+    });
+    return *text;
+  }
+
+  void ServeStatus()
+  {
+    const char* json = "application/json";
+    mStatus.Serve("/status", json, [this](const auto&) {
+      return AskText([this](balancer::Balancer& b, TimePoint) {
+        return StatusText(b, Context());
+      });
+    });
+    mStatus.Serve("/ready", json, [this](const auto&) {
+      return AskText([](balancer::Balancer& b, TimePoint) {
+        if (!b.IsReady()) {
+          throw DaemonError(911, "balancer", "no configuration or view yet");
+        }
+        return std::string("{\"ready\": true}\n");
+      });
+    });
+    mStatus.Serve("/metrics", "text/plain", [this](const auto&) {
+      AskText([this](balancer::Balancer& b, TimePoint) {
+        UpdateMetrics(b, Context(), mMetrics);
+        return std::string();
+      });
+      return mMetrics.Text();
+    });
+    mStatus.Serve("/explain", json, [this](const daemon::StatusQuery& aQuery) {
+      const FlowKey flow{ Address::Parse(aQuery.mCaller),
+                          Address::Parse(aQuery.mService) };
+      return AskText([flow](balancer::Balancer& b, TimePoint aNow) {
+        return ExplanationText(b.Explain(flow, aNow));
+      });
+    });
+  }
+
+  // Whether a question about the balancer holds; false when it does not answer.
+  template<typename Test>
+  bool Holds(Test aTest)
+  {
+    try {
+      return AskText([aTest](balancer::Balancer& b, TimePoint aNow) {
+               return std::string(aTest(b, aNow) ? "yes" : "");
+             }) == "yes";
+    } catch (const DaemonError&) {
+      return false;
+    }
+  }
+
+  // Waits until aDone or until the drain time since aStart has passed.
+  template<typename Done>
+  void WaitUntil(TimePoint aStart, Done aDone)
+  {
+    while (Now() - aStart < mSettings.mLimits.mDrain && !aDone()) {
+      std::this_thread::sleep_for(kLookForSignal);
+    }
+  }
+
+  // Flows first, then the announcement, then what still runs.
+  void Drain()
+  {
+    const TimePoint start = Now();
+    daemon::LogEvent({ 1002, "" });
+    mMailbox.Post(
+      [](balancer::Balancer& b, TimePoint aNow) { b.BeginLeave(aNow); });
+    WaitUntil(start, [&] {
+      return mSender.IsIdle() &&
+             Holds([](auto& b, TimePoint) { return b.FlowsHandedOver(); });
+    });
+    mLink.AnnounceLeave();
+    const TimePoint announced = Now();
+    WaitUntil(start, [&] {
+      return Now() - announced >= kLeaveIsHeard &&
+             Holds([](auto& b, TimePoint aNow) { return b.CanStop(aNow); });
+    });
+  }
+
+  daemon::Settings mSettings;
+  daemon::Metrics mMetrics;
+  Mailbox mMailbox;
+  PeerSender mSender;
+  DataPath mDataPath;
+  AgentLink mLink;
+  daemon::Supervisor mTree;
+  daemon::StatusServer mStatus;
+};
+
+BalancerDaemon::BalancerDaemon(const daemon::Settings& aSettings)
+  : mState(std::make_unique<State>(aSettings))
+{
+}
+
+BalancerDaemon::~BalancerDaemon() = default;
+
+void
+BalancerDaemon::Run()
+{
+  State& state = *mState;
+  state.mStatus.Start(state.mSettings.At(state.mSettings.mPorts.mBalancerHttp));
+  daemon::LogEvent(
+    { 1001, absl::StrCat("incarnation=", state.mDataPath.Incarnation()) });
+  StopToken stop;
+  StopToken ended;
+  std::thread signals([&] {
+    while (!daemon::StopRequested() && !ended.WaitFor(kLookForSignal)) {
+    }
+    if (!ended.IsRequested()) {
+      state.Drain();
+    }
+    stop.Request();
+  });
+  const auto join = [&] {
+    ended.Request();
+    signals.join();
+    state.mStatus.Stop();
+  };
+  try {
+    state.mTree.Run(stop);
+  } catch (...) {
+    join();
+    throw;
+  }
+  join();
+  state.mLink.SayEnded();
+  daemon::LogEvent({ 1003, "" });
+}
+
+} // namespace foxtail::balancerd
--- /dev/null
+++ b/src/balancerd/DataPath.cpp
@@ -0,0 +1,258 @@
+#include "foxtail/balancerd/DataPath.h"
+
+#include <algorithm>
+#include <poll.h>
+#include <random>
+
+#include "foxtail/core/Error.h"
+#include "foxtail/daemon/Log.h"
+#include "foxtail/net/Encapsulation.h"
+
+namespace foxtail::balancerd {
+
+namespace {
+
+constexpr milliseconds kPollTimeout{ 2 };
+constexpr milliseconds kTickInterval{ 5 };
+constexpr int kIncarnationRandomBits = 16;
+// Lines a second that one kind of event may write from the data path.
+constexpr int kMaxLinesPerSecond = 5;
+// Batches taken from one socket before the others get their turn.
+constexpr int kMaxBatches = 4;
+
+const char*
+HopName(balancer::HopKind aKind)
+{
+  switch (aKind) {
+    case balancer::HopKind::Serve:
+      return "serve";
+    case balancer::HopKind::Upstream:
+      return "upstream";
+    case balancer::HopKind::HandOver:
+      return "hand-over";
+  }
+  return "";
+}
+
+std::array<uint8_t, 16>
+RandomKey()
+{
+  std::random_device random;
+  std::array<uint8_t, 16> key{};
+  for (uint8_t& it : key) {
+    it = static_cast<uint8_t>(random());
+  }
+  return key;
+}
+
+} // namespace
+
+routing::Incarnation
+NewIncarnation()
+{
+  const auto now = std::chrono::duration_cast<milliseconds>(
+    std::chrono::system_clock::now().time_since_epoch());
+  std::random_device random;
+  return (static_cast<routing::Incarnation>(now.count())
+          << kIncarnationRandomBits) |
+         (random() & ((1U << kIncarnationRandomBits) - 1));
+}
+
+DataPath::DataPath(const daemon::Settings& aSettings,
+                   Mailbox& aMailbox,
+                   PeerSender& aSender)
+  : mSettings(aSettings)
+  , mMailbox(aMailbox)
+  , mSender(aSender)
+  , mTrace(aSettings.mTrace.mFile,
+           aSettings.mVm.mName,
+           aSettings.mTrace.mSamplePerMillion)
+  , mFabric(aSettings.At(aSettings.mPorts.mFabric))
+  , mHandoff(aSettings.At(aSettings.mPorts.mHandoff))
+  , mUpstream(aSettings.At(aSettings.mPorts.mUpstream))
+  , mIncarnation(NewIncarnation())
+{
+  MakeBalancer(std::chrono::steady_clock::now());
+}
+
+void
+DataPath::MakeBalancer(TimePoint aNow)
+{
+  balancer::BalancerSettings settings;
+  settings.mVm = mSettings.mVm.mName;
+  settings.mFlows.mSelf = mIncarnation;
+  settings.mFlows.mRegion = mSettings.mVm.mRegion;
+  settings.mDispatcher.mSeed = mIncarnation;
+  settings.mRequests.mEcho.mIncarnation = mIncarnation;
+  settings.mRequests.mEcho.mKey = RandomKey();
+  mBalancer = std::make_unique<balancer::Balancer>(settings, aNow);
+}
+
+void
+DataPath::Renew(routing::Incarnation aFloor)
+{
+  mIncarnation = std::max(NewIncarnation(), aFloor + 1);
+  MakeBalancer(std::chrono::steady_clock::now());
+}
+
+void
+DataPath::SetPeers(std::vector<uint32_t> aIps)
+{
+  mPeerIps = std::move(aIps);
+  std::sort(mPeerIps.begin(), mPeerIps.end());
+}
+
+void
+DataPath::Run(const daemon::StopToken& aStop)
+{
+  std::array<pollfd, 3> polled = { { { mFabric.Descriptor(), POLLIN, 0 },
+                                     { mHandoff.Descriptor(), POLLIN, 0 },
+                                     { mUpstream.Descriptor(), POLLIN, 0 } } };
+  while (!aStop.IsRequested()) {
+    ::poll(polled.data(), polled.size(), kPollTimeout.count());
+    const TimePoint now = std::chrono::steady_clock::now();
+    mMailbox.Drain(*mBalancer, now);
+    ReceiveFromUpstreams(now);
+    ReceiveFrom(mHandoff, true, now);
+    ReceiveFrom(mFabric, false, now);
+    if (now - mLastTick >= kTickInterval) {
+      mLastTick = now;
+      mBalancer->Tick(now, mActions);
+    }
+    CarryOut();
+  }
+}
+
+bool
+DataPath::IsAllowed(const Address& aFrom, bool aIsPeer) const
+{
+  return aIsPeer
+           ? std::binary_search(mPeerIps.begin(), mPeerIps.end(), aFrom.mIp)
+           : aFrom.mIp == mSettings.mFabricReturn.mIp;
+}
+
+void
+DataPath::ReceiveFrom(net::UdpSocket& aSocket, bool aIsPeer, TimePoint aNow)
+{
+  for (int i = 0; i < kMaxBatches; ++i) {
+    const size_t n = aSocket.Receive();
+    for (size_t k = 0; k < n; ++k) {
+      OnEncapsulated(aSocket.At(k), aIsPeer, aNow);
+    }
+    if (n < net::kUdpBatch) {
+      return;
+    }
+  }
+}
+
+void
+DataPath::OnEncapsulated(const net::Datagram& aDatagram,
+                         bool aIsPeer,
+                         TimePoint aNow)
+{
+  if (!IsAllowed(aDatagram.mPeer, aIsPeer)) {
+    ++mUnauthorised;
+    Do(balancer::Report{ { 7001, aDatagram.mPeer.ToString() } });
+    return;
+  }
+  try {
+    const net::Envelope envelope = net::Unwrap(aDatagram.mBytes);
+    const uint8_t hops =
+      aIsPeer ? std::max<uint8_t>(envelope.mHops, 1) : uint8_t{ 0 };
+    mBalancer->OnInbound(envelope.mFlow,
+                         hops,
+                         envelope.mInner,
+                         aNow,
+                         std::chrono::system_clock::now(),
+                         mActions);
+  } catch (const NetError& e) {
+    Do(balancer::Report{ { 6001, e.what() } });
+  }
+}
+
+void
+DataPath::ReceiveFromUpstreams(TimePoint aNow)
+{
+  for (int i = 0; i < kMaxBatches; ++i) {
+    const size_t n = mUpstream.Receive();
+    for (size_t k = 0; k < n; ++k) {
+      const net::Datagram& datagram = mUpstream.At(k);
+      mBalancer->OnUpstream(datagram.mPeer, datagram.mBytes, aNow, mActions);
+    }
+    if (n < net::kUdpBatch) {
+      return;
+    }
+  }
+}
+
+void
+DataPath::CarryOut()
+{
+  for (const balancer::Action& it : mActions.Items()) {
+    std::visit([&](const auto& a) { Do(a); }, it);
+  }
+  mActions.Clear();
+  mUpstream.Flush();
+  mHandoff.Flush();
+  mFabric.Flush();
+}
+
+void
+DataPath::Do(const balancer::ToCaller& aAction)
+{
+  net::WrapReturn(aAction.mFlow, mActions.Bytes(aAction.mBytes), mBuffer);
+  mFabric.Queue(mSettings.mFabricReturn, mBuffer);
+}
+
+void
+DataPath::Do(const balancer::ToUpstream& aAction)
+{
+  mUpstream.Queue(aAction.mUpstream, mActions.Bytes(aAction.mBytes));
+}
+
+void
+DataPath::Do(const balancer::ToPeer& aAction)
+{
+  net::WrapInbound(
+    aAction.mFlow, aAction.mHops, mActions.Bytes(aAction.mBytes), mBuffer);
+  mHandoff.Queue(aAction.mPeer, mBuffer);
+}
+
+void
+DataPath::Do(const balancer::TellRecords& aAction)
+{
+  mSender.Send(aAction, mIncarnation);
+}
+
+void
+DataPath::Do(const balancer::TellLoads& aAction)
+{
+  mSender.Send(aAction, mIncarnation);
+}
+
+void
+DataPath::Do(const balancer::Hop& aAction)
+{
+  if (mTrace.Samples(aAction.mTraceKey)) {
+    mTrace.Record(HopName(aAction.mKind),
+                  aAction.mTraceKey,
+                  aAction.mStart,
+                  aAction.mEnd,
+                  aAction.mPeer.ToString());
+  }
+}
+
+void
+DataPath::Do(const balancer::Report& aAction)
+{
+  const TimePoint now = std::chrono::steady_clock::now();
+  if (now - mLogSecond >= seconds(1)) {
+    mLogSecond = now;
+    mLogged.clear();
+  }
+  if (++mLogged[aAction.mEvent.mId] <= kMaxLinesPerSecond) {
+    daemon::LogEvent(aAction.mEvent);
+  }
+}
+
+} // namespace foxtail::balancerd
--- a/src/routing/FlowDirectory.cpp
+++ b/src/routing/FlowDirectory.cpp
@@ -23,7 +23,7 @@
 constexpr double kBatchBytes = 70;
 constexpr size_t kMaxBatchRecords = 1000;
 // A changed configuration is in force everywhere after this time.
-constexpr seconds kConfigSettles{ 5 };
+constexpr seconds kConfigSettles{ 3 };
 
 uint32_t
 TagOf(Incarnation aIncarnation)
