Write the settings page from the schema and list the numbered errors

Cause: operators had numbers in messages and no place to look them up, and the settings were described in the protocol page alone. Page and schema are compared by a test, and so are the error numbers in the code and in docs/ERRORS.md for the settings, config and platform families and the tool.

--- a/src/ctl/Command.cpp
+++ b/src/ctl/Command.cpp
@@ -59,16 +59,20 @@
   if (name == "events") {
     return ListEvents(rest);
   }
+  if (name == "settings") {
+    return ListSettings(rest);
+  }
   if (name == "status") {
     return ShowStatus(rest, aOptions);
   }
   if (name == "explain") {
     return ExplainFlow(rest, aOptions);
   }
-  throw DaemonError(kWrongUsage,
-                    name.empty() ? "command" : name,
-                    "expected a command: check, config, events, status or "
-                    "explain; --help tells more");
+  throw DaemonError(
+    kWrongUsage,
+    name.empty() ? "command" : name,
+    "expected a command: check, config, events, settings, status "
+    "or explain; --help tells more");
 }
 
 } // namespace foxtail::ctl
--- a/src/ctl/Command.h
+++ b/src/ctl/Command.h
@@ -52,6 +52,10 @@
 CommandResult
 ListEvents(const Arguments& aArguments);
 
+// settings: the settings of a VM; with JSON their schema.
+CommandResult
+ListSettings(const Arguments& aArguments);
+
 // status: what a balancer says of itself.
 CommandResult
 ShowStatus(const Arguments& aArguments, const Options& aOptions);
--- a/tests/contracts/FoxtailctlTest.cpp
+++ b/tests/contracts/FoxtailctlTest.cpp
@@ -168,6 +168,8 @@
       { "events --json", 0, R"("id": 2002)" },
       { "status --balancer=DAEMON", 0, "config.number: 12\nflows: 3" },
       { "status --balancer=DAEMON --json", 0, R"("flows": 3)" },
+      { "settings", 0, "| `peer` | integer, 1 to 65535 | `5692` |" },
+      { "settings --json", 0, R"("title": "Settings of a VM")" },
       { "status", 2, "expected the HTTP address of a daemon" },
       { "status --balancer=127.61.0.1:1", 1, "[foxtail.daemon.961]" },
       { "status --balancer=127.61.0.1:1 --json", 1, R"("error": 961)" },
--- /dev/null
+++ b/tests/unit/ErrorsPageTest.cpp
@@ -0,0 +1,61 @@
+#include <catch2/catch.hpp>
+
+#include <filesystem>
+#include <fstream>
+#include <regex>
+#include <set>
+#include <sstream>
+
+namespace {
+
+std::string
+ReadText(const std::filesystem::path& aPath)
+{
+  std::ifstream file(aPath);
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+// The numbers that the first group of aPattern finds in aText.
+std::set<int>
+Numbers(const std::string& aText, const std::string& aPattern)
+{
+  const std::regex pattern(aPattern);
+  std::set<int> numbers;
+  for (std::sregex_iterator it(aText.begin(), aText.end(), pattern), end;
+       it != end;
+       ++it) {
+    numbers.insert(std::stoi((*it)[1]));
+  }
+  return numbers;
+}
+
+} // namespace
+
+TEST_CASE("docs/ERRORS.md lists every number of its families", "[errors]")
+{
+  const std::filesystem::path root = FOXTAIL_SOURCE_DIR;
+  std::set<int> thrown;
+  for (const char* it : { "config/Document.cpp",
+                          "config/PatchTransaction.cpp",
+                          "config/Chain.cpp",
+                          "daemon/Settings.cpp",
+                          "daemon/CommandLine.cpp",
+                          "net/PlatformClient.cpp",
+                          "ctl/Command.cpp",
+                          "ctl/Source.cpp" }) {
+    thrown.merge(Numbers(ReadText(root / "src" / it),
+                         "constexpr int k[A-Za-z]+ = ([0-9]{3});"));
+  }
+  // Statuses of HTTP among the constants.
+  for (const int it : { 200, 304, 404 }) {
+    thrown.erase(it);
+  }
+  // The schema faults count on from the first one.
+  for (const int it : { 104, 105, 106, 107, 204, 205, 206, 207 }) {
+    thrown.insert(it);
+  }
+  const std::string page = ReadText(root / "docs" / "ERRORS.md");
+  CHECK(Numbers(page, "\\| ([12][0-9]{2}|8[0-9]{2}|9[56][0-9]) \\|") == thrown);
+}
--- a/tests/unit/SettingsTest.cpp
+++ b/tests/unit/SettingsTest.cpp
@@ -3,6 +3,7 @@
 #include <fstream>
 #include <sstream>
 
+#include "daemon/SettingsPage.h"
 #include "daemon/SettingsSchema.h"
 #include "foxtail/core/Error.h"
 #include "foxtail/daemon/Settings.h"
@@ -114,3 +115,12 @@
   CHECK(test::ErrorOf<SettingsError>(
           [&] { daemon::ParseSettings(text, "vm.json"); }, message) == 102);
 }
+
+TEST_CASE("The settings page is made from the schema", "[settings]")
+{
+  std::ifstream file(FOXTAIL_SOURCE_DIR "/docs/SETTINGS.md");
+  std::ostringstream page;
+  page << file.rdbuf();
+  // scripts/generate-settings-page writes it.
+  CHECK(page.str() == daemon::SettingsPage());
+}
--- a/tools/foxtailctl.cpp
+++ b/tools/foxtailctl.cpp
@@ -40,6 +40,8 @@
       what changes from one file to the other
   foxtailctl events
       the catalogue of numbered events
+  foxtailctl settings
+      the settings of a VM; with --json their schema
   foxtailctl status --balancer=IP:PORT
       what a balancer says of itself
   foxtailctl explain CALLER SERVICE --balancer=IP:PORT
