--- a/benchmarks/ConfigBenchmark.cpp
+++ b/benchmarks/ConfigBenchmark.cpp
@@ -121,6 +121,30 @@
   }
 }
 
+// One new patch at the end of a day's list, as a watch returns it.
+void
+PatchAtEndOfDay(benchmark::State& aState)
+{
+  PatchList patches;
+  size_t bytes = 0;
+  for (int64_t it = 0; it < aState.range(0); ++it) {
+    const auto number = static_cast<uint64_t>(it) + 1;
+    patches.mEntries.push_back(Drain(number, 0, it % 2 == 0));
+    bytes += patches.mEntries.back().dump().size() + 1;
+  }
+  PatchList before = patches;
+  before.mEntries.pop_back();
+  Chain start = ChainOf(2);
+  start.Offer(before);
+  for (auto unused : aState) {
+    aState.PauseTiming();
+    Chain chain = start;
+    aState.ResumeTiming();
+    benchmark::DoNotOptimize(chain.Offer(patches));
+  }
+  aState.counters["bytes"] = static_cast<double>(bytes);
+}
+
 // Reading a whole document from text.
 void
 ParseDocument(benchmark::State& aState)
@@ -143,6 +167,11 @@
 BENCHMARK(PatchOfAllServices)->Arg(770)->Unit(benchmark::kMicrosecond);
 BENCHMARK(PatchNaive)->Arg(770)->Unit(benchmark::kMicrosecond);
 BENCHMARK(BaseAndDayOfPatches)->Arg(770)->Unit(benchmark::kMillisecond);
+BENCHMARK(PatchAtEndOfDay)
+  ->Arg(25)
+  ->Arg(250)
+  ->Arg(2500)
+  ->Unit(benchmark::kMicrosecond);
 BENCHMARK(ParseDocument)
   ->Arg(2)
   ->Arg(77)
