Tell a peer's number that is ahead of its position as a contradiction

Cause: an answer whose patches were all read already, yet with a greater number, was judged as if it carried a whole document; the null in its place was refused as a malformed document (206), which points at the wrong thing. It is a contradiction and told as Rewritten. Errors at the root of a document now say "document" where the path was empty.

--- a/include/foxtail/config/Chain.h
+++ b/include/foxtail/config/Chain.h
@@ -156,6 +156,8 @@
 
   OfferResult Adopt(const ChainPoint& aPoint, const nlohmann::json& aConfig);
   OfferResult OfferPatches(const ChainAnswer& aAnswer);
+  // What a peer's patches are that end at aPoint, when all of them were read.
+  OfferResult JudgeRead(const ChainPoint& aPoint) const;
   // The first published patch that differs from what was read at its
   // position; empty when all that are kept agree.
   std::optional<uint64_t> FindRewritten(const PatchList& aPatches) const;
--- a/src/config/Chain.cpp
+++ b/src/config/Chain.cpp
@@ -262,6 +262,26 @@
   return OfferPatches(aAnswer);
 }
 
+OfferResult
+Chain::JudgeRead(const ChainPoint& aPoint) const
+{
+  if (aPoint == mPoint) {
+    return Unchanged{};
+  }
+  const bool contradicts =
+    aPoint.mVersion.mNumber > mPoint.mVersion.mNumber ||
+    (aPoint.mVersion.mNumber == mPoint.mVersion.mNumber &&
+     aPoint.mVersion.mDigest != mPoint.mVersion.mDigest);
+  if (contradicts) {
+    return Rewritten{ aPoint,
+                      absl::StrCat("a peer claims ",
+                                   NumberText(aPoint),
+                                   " after patches that led to ",
+                                   NumberText(mPoint)) };
+  }
+  return OlderIgnored{ aPoint };
+}
+
 OfferResult
 Chain::OfferPatches(const ChainAnswer& aAnswer)
 {
@@ -272,8 +292,7 @@
                       "expected no more patches than its position counts");
   }
   if (end <= mPoint.mPosition) {
-    // Nothing to read, but a contradiction is still worth telling.
-    return Adopt(aAnswer.mPoint, json());
+    return JudgeRead(aAnswer.mPoint);
   }
   PatchList list;
   list.mFirst = end - aAnswer.mPatches.size();
--- a/src/config/Document.cpp
+++ b/src/config/Document.cpp
@@ -44,8 +44,9 @@
               const std::string& aPath)
 {
   if (const auto fault = aCheck.Find(aValue)) {
+    const std::string path = absl::StrCat(aPath, fault->mPath);
     throw ConfigError(kSchemaFaults + static_cast<int>(fault->mKind),
-                      absl::StrCat(aPath, fault->mPath),
+                      path.empty() ? "document" : path,
                       fault->mAdvice);
   }
 }
--- a/src/config/SchemaCheck.cpp
+++ b/src/config/SchemaCheck.cpp
@@ -169,7 +169,9 @@
   if (aSchema.contains("maxItems")) {
     absl::StrAppend(&text, " of at most ", aSchema["maxItems"].dump());
   }
-  return absl::StrCat(text, ": ", aSchema.value("description", ""));
+  // The root has a title in place of a description.
+  const std::string title = aSchema.value("title", "");
+  return absl::StrCat(text, ": ", aSchema.value("description", title));
 }
 
 std::string
--- a/tests/unit/ChainTest.cpp
+++ b/tests/unit/ChainTest.cpp
@@ -321,6 +321,9 @@
     { "peer's patches too far on",
       ChainAnswer{ { { 9, 9 }, 9 }, "", { patch } },
       3 },
+    { "peer's number ahead of its position",
+      ChainAnswer{ { { 9, 9 }, before.mPosition }, "", { patch } },
+      4 },
     { "nothing from a peer", ChainAnswer{ ahead, "", {} }, 1 },
   }));
   CAPTURE(name);
