Bound what a large fleet passes on after a common start

Cause: each of 720 members queued each other one as news 30 times; at 400 bytes a datagram the queue would have taken over ten minutes to empty, above the share of membership. Looking for VMs to forget at each tick cost more than all else. After: pages of a peer's list are no news, 8 sends and 2 more a tenfold, 250 bytes a datagram, a look for VMs to forget once a second; all tests pass.

--- a/include/foxtail/membership/Detector.h
+++ b/include/foxtail/membership/Detector.h
@@ -50,7 +50,7 @@
 constexpr milliseconds kPushGap{ 200 };
 constexpr size_t kPushFanout = 3;
 // Records on a probe or its answer, on a push and on a page; bytes.
-constexpr size_t kPiggybackBytes = 400;
+constexpr size_t kPiggybackBytes = 250;
 constexpr size_t kPushBytes = 1000;
 constexpr size_t kPageBytes = 1000;
 
@@ -214,10 +214,11 @@
   void HearOfSelf(const MemberRecord& aRecord);
 
   // Statements about others.
-  void Merge(TimePoint aNow, const MemberRecord& aRecord);
+  // News are passed on; what a page of another's list says is none.
+  void Merge(TimePoint aNow, const MemberRecord& aRecord, bool aNews);
   void Store(TimePoint aNow, const MemberRecord& aRecord);
   void Forget(const std::string& aName);
-  void ExpireVms();
+  void ExpireVms(TimePoint aNow);
 
   // Messages.
   int CheckSender(const GossipReceived& aEvent) const;
@@ -284,6 +285,7 @@
   std::vector<std::string> mProbeOrder;
   TimePoint mNextProbe;
   TimePoint mNextReconnect;
+  TimePoint mNextExpiry;
   TimePoint mNextSync;
   std::string mSyncAfter;
   // There is news that should not wait for the next probe.
--- a/src/membership/Detector.cpp
+++ b/src/membership/Detector.cpp
@@ -60,9 +60,10 @@
 int
 MaxSends(size_t aMembers)
 {
-  constexpr int kPerDoubling = 3;
-  return kPerDoubling * static_cast<int>(std::ceil(
-                          std::log2(static_cast<double>(aMembers) + 2)));
+  constexpr int kAtLeast = 8;
+  constexpr int kPerTenfold = 2;
+  const double tenfolds = std::log10(static_cast<double>(aMembers) + 2);
+  return kAtLeast + kPerTenfold * static_cast<int>(std::ceil(tenfolds));
 }
 
 Duration
@@ -267,8 +268,12 @@
 }
 
 void
-Detector::ExpireVms()
+Detector::ExpireVms(TimePoint aNow)
 {
+  if (aNow < mNextExpiry) {
+    return;
+  }
+  mNextExpiry = aNow + kReconnectPeriod;
   const auto isHeard = [&](const std::string& n) {
     const MemberRecord* record = FindRecord(n);
     return record != nullptr && !IsDead(*record);
@@ -288,7 +293,7 @@
 }
 
 void
-Detector::Merge(TimePoint aNow, const MemberRecord& aRecord)
+Detector::Merge(TimePoint aNow, const MemberRecord& aRecord, bool aNews)
 {
   const std::string& name = aRecord.mMember.mName;
   if (name == mSettings.mName) {
@@ -301,13 +306,16 @@
   }
   const auto it = mMembers.find(name);
   if (it == mMembers.end()) {
-    mUrgent |= !IsDead(aRecord);
+    mUrgent |= aNews && !IsDead(aRecord);
+    Store(aNow, aRecord);
+  } else if (Supersedes(aRecord, it->second.mRecord)) {
+    mUrgent |= aNews && IsUrgent(it->second.mRecord, aRecord);
     Store(aNow, aRecord);
+  } else {
     return;
   }
-  if (Supersedes(aRecord, it->second.mRecord)) {
-    mUrgent |= IsUrgent(it->second.mRecord, aRecord);
-    Store(aNow, aRecord);
+  if (!aNews) {
+    mQueue.Remove(name);
   }
 }
 
@@ -362,10 +370,11 @@
   }
   // A starting agent asks before it says anything about itself.
   if (gossip.mKind != GossipKind::Sync) {
-    Merge(aNow, gossip.mSender);
+    Merge(aNow, gossip.mSender, true);
   }
+  const bool news = gossip.mKind != GossipKind::SyncReply;
   for (const MemberRecord& it : gossip.mUpdates) {
-    Merge(aNow, it);
+    Merge(aNow, it, news);
   }
   Answer(aNow, aEvent);
 }
@@ -536,7 +545,7 @@
 void
 Detector::On(TimePoint aNow, const Tick& /*aEvent*/)
 {
-  ExpireVms();
+  ExpireVms(aNow);
   if (mBalancer.Expire(aNow)) {
     Announce();
   }
