--- a/include/foxtail/requests/RequestTable.h
+++ b/include/foxtail/requests/RequestTable.h
@@ -148,6 +148,7 @@
 // A request that ended without an upstream's answer.
 struct Ended
 {
+  uint32_t mSerial = 0;
   FlowKey mFlow;
   // Answer for the caller; empty when it must not get one.
   std::string_view mBytes;
@@ -343,12 +344,15 @@
   RequestAction OnDecidedEcho(const Incoming& aIn, const EchoCheck& aCheck);
   RequestAction AnswerDuplicate(Slot aSlot);
   RequestAction MakeChallenge(const Incoming& aIn);
+  // For requests whose Echo value names this incarnation.
+  RequestAction ChallengeAnew(const Incoming& aIn);
   // Requests that are not idempotent come with the counter of their Echo
   // value.
   RequestAction StartOrRefuse(const Incoming& aIn,
                               std::optional<uint64_t> aEchoCounter);
   RequestAction ConcludeUnknown(const Incoming& aIn, std::string_view aText);
   RequestAction ConcludeRefused(const Incoming& aIn, const Refusal& aRefusal);
+  RequestAction ConcludeTooLarge(const Incoming& aIn);
 
   static bool IsSameMessage(const Entry& aEntry, const Incoming& aIn);
   Slot FindDuplicate(const Incoming& aIn) const;
