Split the detector's source by duty

Cause: one file of 850 lines held statements, messages, periodic duties and the view. Moved only; the two questions asked of a record stand beside it now. After: [membership], [peer] and [agent] of unit_tests pass, 19438 assertions.

--- a/include/foxtail/membership/Gossip.h
+++ b/include/foxtail/membership/Gossip.h
@@ -29,6 +29,14 @@
   bool mBalancerAbsent = false;
 };
 
+// A verdict that only a later statement of the agent can end.
+bool
+IsDead(const MemberRecord& aRecord);
+
+// True when the record names a living balancer, so that views show it.
+bool
+NamesBalancer(const MemberRecord& aRecord);
+
 // No fewer bytes than the record takes in a datagram.
 size_t
 WireSizeBound(const MemberRecord& aRecord);
--- /dev/null
+++ b/src/membership/DetectorDuties.cpp
@@ -0,0 +1,215 @@
+#include "foxtail/membership/Detector.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace foxtail::membership {
+
+namespace {
+
+Duration
+SuspicionTime(size_t aMembers)
+{
+  const double factor =
+    std::max(1.0, std::log10(static_cast<double>(aMembers) + 1));
+  return Duration(kSuspicionTime) * static_cast<int64_t>(factor * 1000) / 1000;
+}
+
+} // namespace
+
+void
+Detector::On(TimePoint aNow, const Tick& /*aEvent*/)
+{
+  ExpireVms(aNow);
+  if (mBalancer.Expire(aNow)) {
+    Announce();
+  }
+  PullStep(aNow);
+  if (mPhase == Phase::Joining) {
+    JoinStep(aNow);
+    return;
+  }
+  ProbeStep(aNow);
+  SuspicionStep(aNow);
+  ReconnectStep(aNow);
+  SyncStep(aNow);
+}
+
+void
+Detector::JoinStep(TimePoint aNow)
+{
+  const bool ready = mSynced && mBalancer.Current();
+  if (!ready && aNow - *mStartedAt < kJoinTimeout) {
+    return;
+  }
+  mPhase = Phase::Live;
+  Announce();
+}
+
+// Asks one published VM after the other for the whole list, until one has
+// answered to the end and the greater part is heard.
+void
+Detector::PullStep(TimePoint aNow)
+{
+  if (mListComplete || aNow < mNextPull) {
+    return;
+  }
+  std::vector<Address> peers;
+  for (const auto& [name, entry] : mRegistry.Entries()) {
+    if (name != mSettings.mName) {
+      peers.push_back({ entry.mVm.mIp, mSettings.mAgentAddress.mPort });
+    }
+  }
+  if (peers.empty()) {
+    mSynced |= !mRegistry.Entries().empty();
+    return;
+  }
+  mNextPull = aNow + mPullDelay;
+  mPullDelay = std::min(mPullDelay * 2, Duration(kPullRetryMax));
+  mPull = Pull{ ++mSequence, peers[Random(peers.size())], "" };
+  Send(mPull->mPeer, Compose(GossipKind::Sync, mPull->mSequence), 0);
+}
+
+void
+Detector::ProbeStep(TimePoint aNow)
+{
+  const bool unanswered = mProbe && !mProbe->mAnswered;
+  if (unanswered && !mProbe->mIndirect &&
+      aNow >= mProbe->mSentAt + kProbeTimeout) {
+    ProbeIndirectly();
+  }
+  if (aNow < mNextProbe) {
+    return;
+  }
+  if (unanswered) {
+    Suspect(aNow, mProbe->mTarget);
+  }
+  // A late probe gets its whole period, too.
+  const bool late = aNow - mNextProbe > kProbeTimeout;
+  mNextProbe = (late ? aNow : mNextProbe) + kProbePeriod;
+  StartProbe(aNow);
+}
+
+void
+Detector::StartProbe(TimePoint aNow)
+{
+  mProbe.reset();
+  const Entry* target = NextProbeTarget();
+  if (target == nullptr) {
+    mViewDirty |= mPaused;
+    mPaused = false;
+    return;
+  }
+  mProbe = Probe{ ++mSequence, target->mRecord.mMember.mName, aNow };
+  SendTo(*target, Compose(GossipKind::Probe, mSequence), kPiggybackBytes);
+}
+
+void
+Detector::ProbeIndirectly()
+{
+  mProbe->mIndirect = true;
+  for (const Entry* it : PickLive(kIndirectProbes, mProbe->mTarget)) {
+    Gossip gossip = Compose(GossipKind::IndirectProbe, mProbe->mSequence);
+    gossip.mTarget = mProbe->mTarget;
+    SendTo(*it, std::move(gossip), kPiggybackBytes);
+  }
+}
+
+void
+Detector::Suspect(TimePoint aNow, const std::string& aName)
+{
+  const auto it = mMembers.find(aName);
+  if (it == mMembers.end() ||
+      it->second.mRecord.mMember.mState != MemberState::Alive) {
+    return;
+  }
+  MemberRecord record = it->second.mRecord;
+  record.mMember.mState = MemberState::Suspect;
+  Store(aNow, record);
+  SendTo(it->second, Compose(GossipKind::Update, ++mSequence), kPiggybackBytes);
+}
+
+void
+Detector::SuspicionStep(TimePoint aNow)
+{
+  const Duration limit = SuspicionTime(mMembers.size());
+  const std::set<std::string> suspects = mSuspects;
+  for (const std::string& name : suspects) {
+    const Entry& entry = mMembers[name];
+    if (aNow - entry.mSuspectAt >= limit) {
+      MemberRecord record = entry.mRecord;
+      record.mMember.mState = MemberState::Dead;
+      Store(aNow, record);
+      mUrgent = true;
+    }
+  }
+}
+
+void
+Detector::ReconnectStep(TimePoint aNow)
+{
+  if (aNow < mNextReconnect) {
+    return;
+  }
+  mNextReconnect = aNow + kReconnectPeriod;
+  std::vector<std::string> silent;
+  for (const auto& it : mRegistry.Entries()) {
+    const MemberRecord* record = FindRecord(it.first);
+    if (record == nullptr || IsDead(*record)) {
+      silent.push_back(it.first);
+    }
+  }
+  if (silent.empty()) {
+    return;
+  }
+  const std::string& name = silent[Random(silent.size())];
+  Gossip probe = Compose(GossipKind::Probe, ++mSequence);
+  const auto it = mMembers.find(name);
+  if (it != mMembers.end()) {
+    SendTo(it->second, std::move(probe), kPiggybackBytes);
+    return;
+  }
+  Send({ mRegistry.Find(name)->mIp, mSettings.mAgentAddress.mPort },
+       std::move(probe),
+       kPiggybackBytes);
+}
+
+void
+Detector::SyncStep(TimePoint aNow)
+{
+  if (aNow < mNextSync) {
+    return;
+  }
+  mNextSync = aNow + kSyncPeriod;
+  Gossip sync = Compose(GossipKind::Sync, ++mSequence);
+  sync.mTarget = mSyncAfter;
+  for (const MemberRecord* it : RecordsAfter(mSyncAfter)) {
+    sync.mUpdates.push_back(*it);
+    if (sync.mUpdates.size() == kSyncPageRecords) {
+      break;
+    }
+  }
+  const bool last = sync.mUpdates.size() < kSyncPageRecords;
+  mSyncAfter = last ? "" : sync.mUpdates.back().mMember.mName;
+  const std::vector<const Entry*> peer = PickLive(1);
+  if (!peer.empty()) {
+    const Address to = peer.front()->mRecord.mMember.mAgentAddress;
+    Send(to, std::move(sync), 0);
+  }
+}
+
+void
+Detector::PushStep(TimePoint aNow)
+{
+  if (!mUrgent || aNow < mNextPush) {
+    return;
+  }
+  mUrgent = false;
+  mNextPush = aNow + kPushGap;
+  for (const Entry* it : PickLive(kPushFanout)) {
+    SendTo(*it, Compose(GossipKind::Update, ++mSequence), kPushBytes);
+  }
+}
+
+} // namespace foxtail::membership
--- a/src/membership/Gossip.cpp
+++ b/src/membership/Gossip.cpp
@@ -21,6 +21,19 @@
 
 } // namespace
 
+bool
+IsDead(const MemberRecord& aRecord)
+{
+  return aRecord.mMember.mState == MemberState::Dead;
+}
+
+bool
+NamesBalancer(const MemberRecord& aRecord)
+{
+  return !IsDead(aRecord) && !aRecord.mBalancerAbsent &&
+         aRecord.mMember.mIncarnation != 0;
+}
+
 size_t
 WireSizeBound(const MemberRecord& aRecord)
 {
