--- a/tests/unit/RequestTableTest.cpp
+++ b/tests/unit/RequestTableTest.cpp
@@ -458,3 +458,22 @@
   CHECK(f.Answer(first) == "5.4 unknown");
   CHECK(f.mTable.OpenRequests() == 2);
 }
+
+TEST_CASE("Stored bytes are bounded and postings' answers go last",
+          "[requests]")
+{
+  RequestSettings settings = Settings(kSelf);
+  settings.mMaxBytes = 6000;
+  Fixture f(settings);
+  const RequestBytes posting = f.Admit({});
+  const std::string answer(1000, 'x');
+  f.Reply(f.Send(f.Start(posting)), coap::kContent, answer);
+  RequestBytes get;
+  get.mCode = coap::kGet;
+  for (get.mMessageId = 10; get.mMessageId < 60; ++get.mMessageId) {
+    f.Reply(f.Send(f.Start(get)), coap::kContent, answer);
+    CHECK(f.mTable.StoredBytes() <= settings.mMaxBytes);
+  }
+  CHECK(f.mTable.Counters().mEvicted > 0);
+  CHECK(f.Answer(posting) == "2.5 " + answer);
+}
