--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -116,15 +116,15 @@
   return "$status"
 }
 
-# Waits until an address answers over HTTP; half a minute at most, as machines
-# may be busy.
+# wait_http ADDRESS/PATH [JQ-CONDITION]: waits until it answers over HTTP and
+# the condition holds; half a minute at most, as machines may be busy.
 wait_http() {
   local i
   for ((i = 0; i < 300; ++i)); do
-    curl -fsS -m 1 "http://$1" >/dev/null 2>&1 && return
+    curl -fsS -m 1 "http://$1" 2>/dev/null | jq -e "${2:-true}" >/dev/null 2>&1 && return
     sleep 0.1
   done
-  echo "no answer from $1" >&2
+  echo "no answer from $1 with ${2:-true}" >&2
   tail -n 5 "$CLUSTER_DIR"/logs/*.log >&2
   return 1
 }
@@ -226,10 +226,13 @@
 
 vm_wait() {
   [ "${FOXTAIL_RELAY:-}" = naive ] && return
-  local address
-  address=$(layout ".vms[] | select(.name == \"$1\").address")
-  wait_http "$address:$(layout '.vm_settings[0].ports.agent_http')/ready"
-  wait_http "$address:$(layout '.vm_settings[0].ports.balancer_http')/ready"
+  wait_http "$(vm_http "$1" agent)/status" '.joined and .config.number > 0'
+  wait_http "$(vm_http "$1" balancer)/status" '.config.number > 0'
+}
+
+# vm_http NAME agent|balancer: the daemon's HTTP address.
+vm_http() {
+  layout ".vm_settings[] | select(.vm.name == \"$1\") | \"\(.vm.address):\(.ports.$2_http)\""
 }
 
 # The processes of a VM, by name.
@@ -251,13 +254,15 @@
 }
 
 vm_kill() {
-  local name
-  for name in $(vm_processes "$1"); do
-    kill -KILL "${CLUSTER_PIDS[$name]}"
-  done
-  for name in $(vm_processes "$1"); do
-    process_end "$name" KILL || true
-  done
+  local name names
+  names=$(vm_processes "$1")
+  # The shell would report each killed job.
+  {
+    vm_signal "$1" KILL
+    for name in $names; do
+      process_end "$name" KILL || true
+    done
+  } 2>/dev/null
 }
 
 vm_signal() {
@@ -272,9 +277,7 @@
 
 # The configuration version that a VM's balancer has in force, as NUMBER/DIGEST.
 vm_version() {
-  local address
-  address=$(layout ".vms[] | select(.name == \"$1\").address")
-  curl -fsS -m 5 "http://$address:$(layout '.vm_settings[0].ports.balancer_http')/status" |
+  curl -fsS -m 5 "http://$(vm_http "$1" balancer)/status" |
     jq -r '"\(.config.number)/\(.config.digest)"'
 }
 
--- a/tests/standins/CallerMain.cpp
+++ b/tests/standins/CallerMain.cpp
@@ -10,6 +10,7 @@
 #include "absl/flags/parse.h"
 #include "absl/flags/usage.h"
 #include "foxtail/core/Error.h"
+#include "foxtail/daemon/Process.h"
 
 ABSL_FLAG(std::string, settings, "", "JSON file with the settings");
 ABSL_FLAG(int, ack_timeout_ms, 0, "overrides ack_timeout_ms when above zero");
@@ -300,7 +301,7 @@
     "postings_per_s, downloads_per_s, long_flows}].");
   absl::ParseCommandLine(argc, argv);
   try {
-    RaiseFileLimit();
+    foxtail::daemon::RaiseDescriptorLimit();
     EventLoop loop;
     loop.StopOnSignals();
     Load load(loop, ReadJsonFile(absl::GetFlag(FLAGS_settings)));
--- a/tests/standins/UdpSocket.cpp
+++ b/tests/standins/UdpSocket.cpp
@@ -2,7 +2,6 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
-#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -85,13 +84,4 @@
                            sizeof(sa)));
 }
 
-void
-RaiseFileLimit()
-{
-  rlimit limit{};
-  getrlimit(RLIMIT_NOFILE, &limit);
-  limit.rlim_cur = limit.rlim_max;
-  setrlimit(RLIMIT_NOFILE, &limit);
-}
-
 } // namespace foxtail::standins
--- a/tests/standins/UdpSocket.h
+++ b/tests/standins/UdpSocket.h
@@ -9,7 +9,8 @@
 
 namespace foxtail::standins {
 
-// A bound, non-blocking UDP socket.
+// A bound, non-blocking UDP socket without buffers of its own to speak of, so
+// that one process can hold thousands of them.
 class UdpSocket
 {
 public:
@@ -35,10 +36,6 @@
   std::string mBuffer;
 };
 
-// Lets the process open as many sockets as its hard limit allows.
-void
-RaiseFileLimit();
-
 } // namespace foxtail::standins
 
 #endif
--- a/tests/standins/UpstreamMain.cpp
+++ b/tests/standins/UpstreamMain.cpp
@@ -7,6 +7,7 @@
 #include "absl/flags/parse.h"
 #include "absl/flags/usage.h"
 #include "foxtail/core/Error.h"
+#include "foxtail/daemon/Process.h"
 
 ABSL_FLAG(std::string, settings, "", "JSON file with the settings");
 
@@ -119,7 +120,7 @@
     "drain, stop, report_lag_ms, reported_in_flight}.");
   absl::ParseCommandLine(argc, argv);
   try {
-    foxtail::standins::RaiseFileLimit();
+    foxtail::daemon::RaiseDescriptorLimit();
     foxtail::standins::Serve(
       foxtail::standins::ReadJsonFile(absl::GetFlag(FLAGS_settings)));
   } catch (const std::exception& e) {
