--- a/src/net/PeerCodec.cpp
+++ b/src/net/PeerCodec.cpp
@@ -426,6 +426,8 @@
                                     it.mFingerprints.end());
   }
   message.set_grant_to(aRecords.mGrantTo);
+  message.set_config_number(aRecords.mConfigNumber);
+  message.set_has_loads(aRecords.mHasLoads);
   for (const UpstreamLoad& it : aRecords.mLoads) {
     Put(it, *message.add_loads());
   }
@@ -457,6 +459,8 @@
         { it.fingerprints().begin(), it.fingerprints().end() } });
   }
   records.mGrantTo = message.grant_to();
+  records.mConfigNumber = message.config_number();
+  records.mHasLoads = message.has_loads();
   records.mLoads = TakeLoads(message.loads());
   return records;
 }
