--- a/include/foxtail/balancer/Actions.h
+++ b/include/foxtail/balancer/Actions.h
@@ -83,8 +83,8 @@
   Event mEvent;
 };
 
-using Action =
-  std::variant<ToCaller, ToUpstream, ToPeer, TellRecords, TellLoads, Hop, Report>;
+using Action = std::
+  variant<ToCaller, ToUpstream, ToPeer, TellRecords, TellLoads, Hop, Report>;
 
 // What a balancer wants done, in order. Cleared and used again, so that no
 // memory is allocated once it has grown to the size of a batch.
--- a/src/balancer/Balancer.cpp
+++ b/src/balancer/Balancer.cpp
@@ -153,10 +153,8 @@
     return;
   }
   ++mCounters.mHandedOver;
-  aOut.Add(ToPeer{ it->second,
-                   aFlow,
-                   static_cast<uint8_t>(aHops + 1),
-                   aOut.Keep(aDatagram) });
+  aOut.Add(ToPeer{
+    it->second, aFlow, static_cast<uint8_t>(aHops + 1), aOut.Keep(aDatagram) });
   aOut.Add(Hop{ HopKind::HandOver,
                 TraceKey(aFlowHash, aDatagram),
                 aNow,
@@ -237,8 +235,8 @@
   if (aIn.mMessage.mType != coap::Type::Reset) {
     return;
   }
-  const auto ended = mRequests.OnCallerReset(
-    aIn.mFlow, aIn.mMessage.mMessageId, aIn.mNow);
+  const auto ended =
+    mRequests.OnCallerReset(aIn.mFlow, aIn.mMessage.mMessageId, aIn.mNow);
   if (!ended) {
     return;
   }
@@ -258,9 +256,8 @@
 requests::EchoIssuerPresence
 Balancer::PresenceOf(const coap::Message& aMessage) const
 {
-  const auto named = aMessage.mEcho
-                       ? requests::NamedIncarnation(*aMessage.mEcho)
-                       : std::nullopt;
+  const auto named =
+    aMessage.mEcho ? requests::NamedIncarnation(*aMessage.mEcho) : std::nullopt;
   return named && mHandoff.contains(*named)
            ? requests::EchoIssuerPresence::Present
            : requests::EchoIssuerPresence::Absent;
@@ -392,8 +389,7 @@
   const auto bytes = mRequests.Send(aSend.mSerial, upstream.mAddress, aNow);
   if (!bytes) {
     Expire(aSend.mSerial, aNow, aOut);
-    mDispatcher.Finish(
-      aSend.mSerial, routing::Outcome::Cancelled, aNow, aMore);
+    mDispatcher.Finish(aSend.mSerial, routing::Outcome::Cancelled, aNow, aMore);
     return;
   }
   aOut.Add(ToUpstream{ upstream.mAddress, aOut.Keep(*bytes) });
@@ -488,10 +484,8 @@
         aOut.Add(ToCaller{ a->mFlow, aOut.Keep(a->mBytes) });
       }
       Conclude(a->mSerial, aNow, aOut);
-      mDispatcher.Finish(
-        a->mSerial, routing::Outcome::Answered, aNow, more);
-    } else if (const auto* s =
-                 std::get_if<requests::Shed>(&action.mAction)) {
+      mDispatcher.Finish(a->mSerial, routing::Outcome::Answered, aNow, more);
+    } else if (const auto* s = std::get_if<requests::Shed>(&action.mAction)) {
       mDispatcher.Finish(s->mSerial, routing::Outcome::Shed, aNow, more);
     }
     Apply(more, aNow, aOut);
@@ -557,8 +551,7 @@
 bool
 Balancer::CanStop(TimePoint aNow) const
 {
-  return mLeaving && mFlows.LeaveComplete() &&
-         !mRequests.HasOutstanding(aNow);
+  return mLeaving && mFlows.LeaveComplete() && !mRequests.HasOutstanding(aNow);
 }
 
 Explanation
@@ -574,8 +567,7 @@
   Explanation explanation;
   explanation.mService = mSnapshot->mServices[service].mName;
   explanation.mOwner = mFlows.Ranking().Owner(routing::RankHash(hash));
-  const membership::Member* owner =
-    mView->FindIncarnation(explanation.mOwner);
+  const membership::Member* owner = mView->FindIncarnation(explanation.mOwner);
   explanation.mOwnerVm = owner != nullptr ? owner->mName : mSettings.mVm;
   const auto known =
     mUpstreams.find(mFlows.Lookup(aFlow, hash, aNow).mUpstream);
--- a/tests/process/checker.sh
+++ b/tests/process/checker.sh
@@ -15,7 +15,7 @@
   jq -n --argjson told "$1" '
     def kind($k): [$told[] | select(.kind == $k)] as $t
       | {sent: ($t | length), wait_p50_ms: 1, wait_p99_ms: 2}
-        + ([("whole", "refused", "unknown", "no_answer", "wrong") as $o
+        + ([("whole", "refused", "retry", "unknown", "no_answer", "wrong") as $o
             | {($o): ([$t[] | select(.told == $o)] | length)}] | add);
     {kinds: {lookup: kind("lookup"), posting: kind("posting"), download: kind("download")},
      counters: {}, last_new_flow_ms: {}, moved_flows: [], broken_downloads: [],
@@ -58,6 +58,8 @@
 : | expect "unknown and not run" ""
 report "$(told lookup whole)" >"$dir/report"
 { run a ledger false; run a ledger false; } | expect "a lookup may run twice" ""
+report "$(told lookup retry)" >"$dir/report"
+run a ledger false | expect "told to ask again, and run" ""
 report "$(told lookup wrong)" >"$dir/report"
 run a ledger false | expect "wrong content" "wrong answers"
 report '[]' "$(moved ledger-1 200)" >"$dir/report"
--- a/tests/standins/CallerReport.cpp
+++ b/tests/standins/CallerReport.cpp
@@ -37,9 +37,8 @@
 const char*
 OutcomeName(Outcome aOutcome)
 {
-  constexpr const char* kNames[] = {
-    "whole", "refused", "unknown", "no_answer", "wrong"
-  };
+  constexpr const char* kNames[] = { "whole",   "refused",   "retry",
+                                     "unknown", "no_answer", "wrong" };
   return kNames[static_cast<size_t>(aOutcome)];
 }
 
--- a/tests/standins/CallerReport.h
+++ b/tests/standins/CallerReport.h
@@ -30,6 +30,8 @@
   Whole,
   // Told that it was not run.
   Refused,
+  // Told to ask again; only for idempotent requests, which may have run.
+  Retry,
   // Told that it may have run.
   Unknown,
   // Nothing was heard after all retransmissions.
@@ -38,7 +40,7 @@
   Wrong
 };
 
-constexpr size_t kOutcomes = 5;
+constexpr size_t kOutcomes = 6;
 
 const char*
 OutcomeName(Outcome aOutcome);
--- a/tests/standins/CheckerMain.cpp
+++ b/tests/standins/CheckerMain.cpp
@@ -155,7 +155,7 @@
   {
     aTotals.mSent += aJson.at("sent").get<uint64_t>();
     for (const char* it :
-         { "whole", "refused", "unknown", "no_answer", "wrong" }) {
+         { "whole", "refused", "retry", "unknown", "no_answer", "wrong" }) {
       aTotals.mOutcomes[it] += aJson.at(it).get<uint64_t>();
     }
     aTotals.mWaitP50 =
@@ -223,6 +223,7 @@
     for (const char* it : { "sent",
                             "whole",
                             "refused",
+                            "retry",
                             "unknown",
                             "no answer",
                             "wrong",
@@ -241,7 +242,7 @@
     std::cout << std::left << std::setw(10) << aKind << std::right
               << std::setw(11) << aTotals.mSent;
     for (const char* it :
-         { "whole", "refused", "unknown", "no_answer", "wrong" }) {
+         { "whole", "refused", "retry", "unknown", "no_answer", "wrong" }) {
       std::cout << std::setw(11) << aTotals.mOutcomes.at(it);
     }
     if (aKind == "download") {
--- a/tests/standins/Flow.cpp
+++ b/tests/standins/Flow.cpp
@@ -273,8 +273,13 @@
   } else if (aMessage.mCode == coap::kUnauthorized ||
              aMessage.mPayload.substr(0, 7) == "not run") {
     OnFailure(aMessage, Outcome::Refused);
+  } else if (aMessage.mCode == coap::kUnavailable &&
+             current.mRequest.mKind != Kind::Posting &&
+             aMessage.mPayload.substr(0, 6) == "retry:") {
+    OnFailure(aMessage, Outcome::Retry);
   } else {
-    End(Outcome::Wrong, "code " + CodeText(aMessage.mCode));
+    End(Outcome::Wrong,
+        CodeText(aMessage.mCode) + " " + std::string(aMessage.mPayload));
   }
 }
 
