--- a/src/routing/Dispatcher.cpp
+++ b/src/routing/Dispatcher.cpp
@@ -155,7 +155,7 @@
   // Services with waiting requests.
   absl::btree_set<config::ServiceIndex> mBacklogged;
   // Waiting requests whose service was removed.
-  std::vector<Work> mHomeless;
+  std::vector<Work> mWithoutService;
   // What peers are told, by upstream.
   absl::btree_map<config::UpstreamIndex, uint32_t> mTold;
 };
@@ -259,7 +259,7 @@
       Enqueue(*it, false, aNow);
       continue;
     }
-    mHomeless.push_back(it->mWork);
+    mWithoutService.push_back(it->mWork);
     Forget(*it);
   }
 }
@@ -646,8 +646,9 @@
   const auto it = mJobs.find(aSerial);
   if (it == mJobs.end()) {
     const auto isThis = [&](const Work& a) { return a.mSerial == aSerial; };
-    mHomeless.erase(std::remove_if(mHomeless.begin(), mHomeless.end(), isThis),
-                    mHomeless.end());
+    mWithoutService.erase(
+      std::remove_if(mWithoutService.begin(), mWithoutService.end(), isThis),
+      mWithoutService.end());
     return;
   }
   Job& job = it->second;
@@ -688,10 +689,10 @@
 Dispatcher::Impl::Tick(TimePoint aNow, WorkActions& aActions)
 {
   mNow = aNow;
-  for (const Work& it : mHomeless) {
+  for (const Work& it : mWithoutService) {
     Refuse(it, RefusalReason::NoUpstream, aActions);
   }
-  mHomeless.clear();
+  mWithoutService.clear();
   ExpireDue(aNow, aActions);
   MarkLong(aNow);
   if (aNow >= mNextReview && mTable.Snapshot()) {
@@ -708,7 +709,7 @@
 std::optional<TimePoint>
 Dispatcher::Impl::NextTick() const
 {
-  if (!mHomeless.empty()) {
+  if (!mWithoutService.empty()) {
     return mNow;
   }
   if (mDeadlines.empty()) {
