--- a/include/foxtail/balancer/Balancer.h
+++ b/include/foxtail/balancer/Balancer.h
@@ -23,7 +23,7 @@
   requests::RequestSettings mRequests;
   // Least time between two messages about changed loads to a peer, and the
   // time after which unchanged ones are told again.
-  milliseconds mLoadInterval{ 100 };
+  milliseconds mLoadInterval{ 200 };
   milliseconds mLoadKeepAlive{ 1000 };
 };
 
