--- a/include/foxtail/balancerd/DataPath.h
+++ b/include/foxtail/balancerd/DataPath.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "foxtail/balancer/Balancer.h"
+#include "foxtail/balancer/PauseGuard.h"
 #include "foxtail/balancerd/Mailbox.h"
 #include "foxtail/balancerd/PeerSender.h"
 #include "foxtail/daemon/Metrics.h"
@@ -43,6 +44,10 @@
   // Peers whose datagrams are taken, by IP number. Only within a mailbox task.
   void SetPeers(std::vector<uint32_t> aIps);
 
+  // The agent answered with a view that is not in doubt. Only within a mailbox
+  // task.
+  void ConfirmView() { mPauseGuard.Confirm(); }
+
   uint64_t UnauthorisedDatagrams() const { return mUnauthorised; }
 
 private:
@@ -71,6 +76,7 @@
   net::UdpSocket mUpstream;
   std::atomic<routing::Incarnation> mIncarnation;
   std::unique_ptr<balancer::Balancer> mBalancer;
+  balancer::PauseGuard mPauseGuard;
   balancer::Actions mActions;
   std::string mBuffer;
   std::vector<uint32_t> mPeerIps;
--- a/src/balancerd/AgentLink.cpp
+++ b/src/balancerd/AgentLink.cpp
@@ -112,6 +112,10 @@
     Renew(aReply.mRefusedIncarnation);
     return;
   }
+  if (!aReply.mViewInDoubt) {
+    mMailbox.Post(
+      [this](balancer::Balancer&, TimePoint) { mDataPath.ConfirmView(); });
+  }
   TakeConfig(aReply.mConfig);
   TakeView(aReply);
   TakeLoads(aReply);
--- a/src/balancerd/DataPath.cpp
+++ b/src/balancerd/DataPath.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 constexpr milliseconds kPollTimeout{ 2 };
-constexpr milliseconds kTickInterval{ 5 };
+constexpr milliseconds kTickInterval{ 2 };
 constexpr int kIncarnationRandomBits = 16;
 // Lines a second that one kind of event may write from the data path.
 constexpr int kMaxLinesPerSecond = 5;
@@ -71,6 +71,7 @@
   , mHandoff(aSettings.At(aSettings.mPorts.mHandoff))
   , mUpstream(aSettings.At(aSettings.mPorts.mUpstream))
   , mIncarnation(NewIncarnation())
+  , mPauseGuard(std::chrono::steady_clock::now())
 {
   MakeBalancer(std::chrono::steady_clock::now());
 }
@@ -111,6 +112,7 @@
   while (!aStop.IsRequested()) {
     ::poll(polled.data(), polled.size(), kPollTimeout.count());
     const TimePoint now = std::chrono::steady_clock::now();
+    mPauseGuard.Run(now);
     mMailbox.Drain(*mBalancer, now);
     ReceiveFromUpstreams(now);
     ReceiveFrom(mHandoff, true, now);
@@ -155,6 +157,9 @@
     Do(balancer::Report{ { 7001, aDatagram.mPeer.ToString() } });
     return;
   }
+  if (mPauseGuard.IsHolding()) {
+    return;
+  }
   try {
     const net::Envelope envelope = net::Unwrap(aDatagram.mBytes);
     const uint8_t hops =
