End every process of a run, also when one has ended already

Cause: under set -e the exit trap stopped at the first kill of a process that was gone; a freeze run whose balancer had crashed left 11 processes. The trap now runs without it.

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -86,6 +86,8 @@
 cluster_close() {
   local status=$? name
   trap - EXIT
+  # A process that has ended already must not keep the others running.
+  set +e
   for name in "${!CLUSTER_PIDS[@]}"; do
     kill -CONT "${CLUSTER_PIDS[$name]}" 2>/dev/null
     kill -KILL "${CLUSTER_PIDS[$name]}" 2>/dev/null
