Give the agents' process test a loopback network of its own

It used a fixed network, which scripts/cluster.sh or another run of the same test could hold at that time; that this was the cause is likely, not shown.

--- a/tests/contracts/AgentProcessTest.cpp
+++ b/tests/contracts/AgentProcessTest.cpp
@@ -15,6 +15,7 @@
 
 #include <fcntl.h>
 #include <spawn.h>
+#include <sys/file.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -81,7 +82,33 @@
   pid_t mId = -1;
 };
 
-constexpr uint32_t kNetwork = 0x7F410100; // 127.65.1.0
+// The second number of the addresses: the first that no other run holds, by the
+// lock files of scripts/cluster.sh. Held until the program ends.
+uint32_t
+ChooseNetwork()
+{
+  for (uint32_t i = 0; i < 200; ++i) {
+    const uint32_t n = 30 + (getpid() + i) % 200;
+    const std::string file = absl::StrCat("/tmp/foxtail-net-", n, ".lock");
+    const int lock = open(file.c_str(), O_CREAT | O_RDWR | O_CLOEXEC, 0666);
+    if (lock >= 0 && flock(lock, LOCK_EX | LOCK_NB) == 0) {
+      return 0x7F000100U + (n << 16);
+    }
+    close(lock);
+  }
+  FAIL("no free loopback network");
+  return 0;
+}
+
+const uint32_t kNetwork = ChooseNetwork();
+
+// A port of the machine that stands for what is no VM.
+std::string
+Outside(uint32_t aLast, uint16_t aPort)
+{
+  return Address{ kNetwork - 0x100 + aLast, aPort }.ToString();
+}
+
 constexpr size_t kVms = 3;
 
 std::string
@@ -151,8 +178,8 @@
   {
     mPlatform = std::make_unique<Child>(
       "standin-platform",
-      std::vector<std::string>{ "--listen=127.65.0.1:8080",
-                                "--admin=127.65.0.1:8081",
+      std::vector<std::string>{ "--listen=" + Outside(1, 8080),
+                                "--admin=" + Outside(1, 8081),
                                 "--dir=" + mFolder });
   }
   void StopPlatform() { mPlatform.reset(); }
@@ -170,8 +197,8 @@
           { "domain", "agadir-a" },
           { "address", Ip(aVm) } } },
       { "ports", ports },
-      { "platform", { { "address", "127.65.0.1:8080" } } },
-      { "fabric", { { "return_address", "127.65.0.2:5690" } } },
+      { "platform", { { "address", Outside(1, 8080) } } },
+      { "fabric", { { "return_address", Outside(2, 5690) } } },
       { "limits",
         { { "control_bytes_per_second", 7000 }, { "drain_ms", 30000 } } },
       { "trace", { { "file", "" }, { "sample_per_million", 0 } } }
