Mend the woken balancer that answered nobody and the restarted one that served an old version

Cause: (1) a renewed balancer replaced the old one in the middle of a batch of mailbox tasks; the tasks after it worked on freed memory, so the new one never got its view. (2) An agent gave its balancer the platform's version before its peers could be heard. (3) A woken balancer went on with queued requests by its old configuration.

--- a/include/foxtail/agent/AgentCore.h
+++ b/include/foxtail/agent/AgentCore.h
@@ -160,9 +160,15 @@
   membership::Incarnation mToldBalancer = 0;
   uint64_t mToldSerial = 0;
 
+  // True while a configuration that a peer has is still to be fetched, and
+  // until the peers of an agent that just started could be heard.
+  bool ConfigMayBeOld(TimePoint aNow);
+
   std::optional<Address> mAheadPeer;
   bool mFetching = false;
   TimePoint mNextFetch;
+  // When the first balancer asked; empty before.
+  std::optional<TimePoint> mFirstAsked;
   Duration mFetchDelay;
 
   AgentCounters mCounters;
--- a/include/foxtail/balancerd/DataPath.h
+++ b/include/foxtail/balancerd/DataPath.h
@@ -58,6 +58,7 @@
                       TimePoint aNow);
   bool IsAllowed(const Address& aFrom, bool aIsPeer) const;
   void ReceiveFromUpstreams(TimePoint aNow);
+  void CarryOutUnlessPaused();
   void CarryOut();
   void Do(const balancer::ToCaller& aAction);
   void Do(const balancer::ToUpstream& aAction);
--- a/include/foxtail/balancerd/Mailbox.h
+++ b/include/foxtail/balancerd/Mailbox.h
@@ -2,6 +2,7 @@
 #define foxtail_balancerd_Mailbox_h
 
 #include <functional>
+#include <memory>
 #include <mutex>
 #include <vector>
 
@@ -22,8 +23,10 @@
   // it has not run within a second.
   void Ask(Task aTask);
 
-  // Called by the data path.
-  void Drain(balancer::Balancer& aBalancer, TimePoint aNow);
+  // Called by the data path. A task may put another balancer in aBalancer;
+  // those after it get the new one.
+  void Drain(const std::unique_ptr<balancer::Balancer>& aBalancer,
+             TimePoint aNow);
 
 private:
   std::mutex mMutex;
--- a/src/agent/AgentCore.cpp
+++ b/src/agent/AgentCore.cpp
@@ -20,6 +20,8 @@
 
 // Fetches that bring nothing are made at twice the last interval, up to the
 // greatest.
+// Longest that a balancer without a configuration waits for the peers' word.
+constexpr seconds kLongestJoinWait{ 5 };
 constexpr milliseconds kFirstFetchDelay{ 100 };
 constexpr seconds kMaxFetchDelay{ 30 };
 constexpr uint32_t kLoopback = 0x7F000001;
@@ -397,21 +399,38 @@
   }
 }
 
+bool
+AgentCore::ConfigMayBeOld(TimePoint aNow)
+{
+  if (!mFirstAsked) {
+    mFirstAsked = aNow;
+  }
+  // Nobody may be there to ask, as in a domain that is cut off.
+  if (aNow - *mFirstAsked >= kLongestJoinWait) {
+    return mFetching || mAheadPeer.has_value();
+  }
+  return !mDetector.HasJoined() || mFetching || mAheadPeer.has_value();
+}
+
 net::LocalReply
 AgentCore::ComposeReply(TimePoint aNow, const net::LocalRequest& aRequest)
 {
   net::LocalReply reply;
   const membership::View& view = *mDetector.CurrentView();
   reply.mRefusedIncarnation = mRefusedFloor;
-  reply.mViewInDoubt = view.mInDoubt;
   reply.mViewSequence = aRequest.mViewSequence;
   // Until this agent has joined, the balancer's view is the better one.
   if (mDetector.HasJoined() && aRequest.mViewSequence != view.mSequence) {
     reply.mViewSequence = view.mSequence;
     reply.mMembers = view.mMembers;
   }
+  const bool isOld = ConfigMayBeOld(aNow);
+  reply.mViewInDoubt = view.mInDoubt || isOld;
   const config::ChainPoint have = net::ToPoint(aRequest.mConfig);
-  reply.mConfig = net::ToReply(mChain.Answer(have));
+  // A balancer that has none yet waits rather than serve with an old one.
+  if (!isOld || have.mVersion.mNumber != 0) {
+    reply.mConfig = net::ToReply(mChain.Answer(have));
+  }
 
   const bool known = aRequest.mSelf.mIncarnation == mToldBalancer;
   reply.mLoads = mLoads.After(aNow, known ? mToldSerial : 0);
--- a/src/balancerd/DataPath.cpp
+++ b/src/balancerd/DataPath.cpp
@@ -113,16 +113,31 @@
     ::poll(polled.data(), polled.size(), kPollTimeout.count());
     const TimePoint now = std::chrono::steady_clock::now();
     mPauseGuard.Run(now);
-    mMailbox.Drain(*mBalancer, now);
-    ReceiveFromUpstreams(now);
+    mMailbox.Drain(mBalancer, now);
     ReceiveFrom(mHandoff, true, now);
     ReceiveFrom(mFabric, false, now);
+    if (mPauseGuard.IsHolding()) {
+      continue;
+    }
+    ReceiveFromUpstreams(now);
     if (now - mLastTick >= kTickInterval) {
       mLastTick = now;
       mBalancer->Tick(now, mActions);
     }
-    CarryOut();
+    CarryOutUnlessPaused();
+  }
+}
+
+// The process may have been paused between deciding and sending.
+void
+DataPath::CarryOutUnlessPaused()
+{
+  mPauseGuard.Run(std::chrono::steady_clock::now());
+  if (mPauseGuard.IsHolding()) {
+    mActions.Clear();
+    return;
   }
+  CarryOut();
 }
 
 bool
--- a/src/balancerd/Mailbox.cpp
+++ b/src/balancerd/Mailbox.cpp
@@ -55,14 +55,15 @@
 }
 
 void
-Mailbox::Drain(balancer::Balancer& aBalancer, TimePoint aNow)
+Mailbox::Drain(const std::unique_ptr<balancer::Balancer>& aBalancer,
+               TimePoint aNow)
 {
   {
     const std::lock_guard<std::mutex> lock(mMutex);
     mRunning.swap(mTasks);
   }
   for (const Task& it : mRunning) {
-    it(aBalancer, aNow);
+    it(*aBalancer, aNow);
   }
   mRunning.clear();
 }
