Refuse bad datagrams by number, count them, and test with mutants

Tests of that found, each seen failing on the code before (19 of 1018 assertions of [badinput]):

- A datagram of 1401 to 2020 bytes for a flow of another balancer was handed over undecoded.
With the hop count it can be longer than a peer datagram (2052 of 2048 bytes), for which the socket throws 633 outside of any handler (this last step by reading, not by a run).
Now refused with 611.
- A caller's message with a code that is neither a request nor empty was ignored without a count.
- Codes of classes 6 and 7 counted as answers and ended the request.
- A request to an address without a service got 5.03 'deadline has passed' instead of the 4.04 of docs/PROTOCOLS.md: its timeout was zero.

By reading: bad PROXY headers were reported but not counted as malformed, and a datagram that the socket had cut was taken for whole. Both mended in DataPath; no test drives its sockets.

After, without sanitizers: DatagramTest, MutationTest and the tests of coap, requests, Echo and at-most-once pass, 1351 assertions in 26 cases.

--- a/include/foxtail/balancer/Balancer.h
+++ b/include/foxtail/balancer/Balancer.h
@@ -75,7 +75,9 @@
                    TimePoint aNow);
 
   // A caller's datagram from the fabric (no hops) or from a peer. aWall is the
-  // time of day at aNow, for deadlines.
+  // time of day at aNow, for deadlines. Bad ones are counted and reported with
+  // the NetErrors of coap::Decode, or 612 when it is neither a request nor
+  // empty.
   void OnInbound(const FlowKey& aFlow,
                  uint8_t aHops,
                  std::string_view aDatagram,
@@ -89,6 +91,10 @@
                   TimePoint aNow,
                   Actions& aOut);
 
+  // Counts and reports a datagram that was refused with aError, here or before
+  // it came here.
+  void Drop(const Error& aError, Actions& aOut);
+
   // Call it every few milliseconds.
   void Tick(TimePoint aNow, Actions& aOut);
 
@@ -141,7 +147,6 @@
                 std::string_view aDatagram,
                 TimePoint aNow,
                 Actions& aOut);
-  void Drop(const Error& aError, Actions& aOut);
   void OnRequest(const Inbound& aIn, Actions& aOut);
   void OnEmpty(const Inbound& aIn, Actions& aOut);
   void Start(const Inbound& aIn,
--- a/include/foxtail/coap/Message.h
+++ b/include/foxtail/coap/Message.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 
+#include "foxtail/core/Error.h"
 #include "foxtail/core/Time.h"
 
 namespace foxtail::coap {
@@ -96,7 +97,11 @@
   std::optional<seconds> mMaxAge;
 
   bool IsRequest() const { return mCode >= Code(0, 1) && mCode <= Code(0, 31); }
-  bool IsResponse() const { return mCode >= Code(2, 0); }
+  // Classes 6 and 7 are no answers.
+  bool IsResponse() const
+  {
+    return mCode >= Code(2, 0) && mCode <= Code(5, 31);
+  }
   bool IsEmpty() const { return mCode == kEmpty; }
   // True for methods that may run more than once without further effect.
   // Methods unknown here count as not idempotent.
@@ -108,6 +113,10 @@
 Message
 Decode(std::string_view aDatagram);
 
+// The NetError 611 of Decode, for datagrams that aren't decoded.
+NetError
+TooLong();
+
 // Stable digest of what a request asks for: method, options except Echo and
 // the deadline, and payload. Two requests with equal digests ask for the same.
 uint64_t
--- a/src/balancer/Balancer.cpp
+++ b/src/balancer/Balancer.cpp
@@ -13,6 +13,8 @@
 
 constexpr uint8_t kMaxHops = 6;
 constexpr seconds kCollectInterval{ 1 };
+// Deadline of a request to no service: it is told so before that.
+constexpr seconds kNoServiceTimeout{ 1 };
 
 template<typename... Ts>
 struct Overloaded : Ts...
@@ -175,6 +177,11 @@
     ++mCounters.mNotReady;
     return;
   }
+  // A longer one might not fit the datagram to a peer.
+  if (aDatagram.size() > coap::kMaxDatagram) {
+    Drop(coap::TooLong(), aOut);
+    return;
+  }
   const uint64_t hash = aFlow.Hash();
   // The forward path: hand to the owner without reading the message.
   if (aHops == 0) {
@@ -192,8 +199,11 @@
     }
     if (message.IsRequest()) {
       OnRequest(in, aOut);
-    } else {
+    } else if (message.IsEmpty()) {
       OnEmpty(in, aOut);
+    } else {
+      throw NetError(
+        612, aFlow.mCaller.ToString(), "neither a request nor empty");
     }
   } catch (const NetError& e) {
     Drop(e, aOut);
@@ -267,7 +277,7 @@
 Balancer::DeadlineOf(const Inbound& aIn, config::ServiceIndex aService) const
 {
   const milliseconds timeout = aService == config::kNoIndex
-                                 ? milliseconds(0)
+                                 ? kNoServiceTimeout
                                  : mSnapshot->mServices[aService].mTimeout;
   const TimePoint latest = aIn.mNow + timeout;
   if (!aIn.mMessage.mDeadline) {
--- a/src/balancerd/DataPath.cpp
+++ b/src/balancerd/DataPath.cpp
@@ -156,6 +156,9 @@
     return;
   }
   try {
+    if (aDatagram.mTruncated) {
+      throw coap::TooLong();
+    }
     const net::Envelope envelope = net::Unwrap(aDatagram.mBytes);
     const uint8_t hops =
       aIsPeer ? std::max<uint8_t>(envelope.mHops, 1) : uint8_t{ 0 };
@@ -166,7 +169,7 @@
                          std::chrono::system_clock::now(),
                          mActions);
   } catch (const NetError& e) {
-    Do(balancer::Report{ { 6001, e.what() } });
+    mBalancer->Drop(e, mActions);
   }
 }
 
--- a/src/coap/Message.cpp
+++ b/src/coap/Message.cpp
@@ -190,11 +190,17 @@
          mCode == kFetch || mCode == kIPatch;
 }
 
+NetError
+TooLong()
+{
+  return NetError(611, "datagram", "longer than 1400 bytes");
+}
+
 Message
 Decode(std::string_view aDatagram)
 {
   if (aDatagram.size() > kMaxDatagram) {
-    throw NetError(611, "datagram", "longer than 1400 bytes");
+    throw TooLong();
   }
   const PduPtr pdu = Parse(aDatagram);
   Message message;
