Add design, operations and embedding pages with examples that CTest runs

Ruled out: code blocks in the page, which nothing would compile. Unit, contract and process tests were not run: no source of theirs changed.

--- /dev/null
+++ b/examples/Configuration.cpp
@@ -0,0 +1,31 @@
+// Two operators race; every process that reads as far comes to one version.
+#include "Example.h"
+
+using namespace foxtail;
+using namespace foxtail::examples;
+
+int
+main()
+{
+  config::Chain chain;
+  chain.Offer(config::Base::FromJson({ { "number", 1U },
+                                       { "digest", "0000000000000001" },
+                                       { "position", 0U },
+                                       { "config", Configuration() } }));
+
+  const nlohmann::json patch = { { { "op", "replace" },
+                                   { "path", "/services/0/upstreams/0/slots" },
+                                   { "value", 4 } } };
+  const nlohmann::json entry = { { "against", 1U }, { "patch", patch } };
+  const auto result = std::get<config::Advanced>(
+    chain.Offer(config::PatchList{ 0, { entry, entry } }));
+  Require(result.mAccepted.size() == 1, "the first patch accepted");
+  Require(result.mRefused.size() == 1, "the second refused");
+  std::printf("%s\n", result.mRefused[0].mReason.c_str());
+  Require(chain.Current()->mUpstreams[0].mSlots == 4, "four slots in force");
+
+  // Another process learns it from this one.
+  config::Chain peer;
+  peer.Offer(chain.Answer(peer.Point()));
+  Require(peer.Point() == chain.Point(), "the same version at the peer");
+}
--- /dev/null
+++ b/examples/Membership.cpp
@@ -0,0 +1,108 @@
+// Two VMs find each other; one falls silent and is dropped from the view.
+#include <array>
+
+#include "Example.h"
+
+using namespace foxtail;
+using namespace foxtail::examples;
+
+namespace {
+
+constexpr milliseconds kStep{ 50 };
+
+struct Vm
+{
+  membership::Member mBalancer;
+  membership::Detector mDetector;
+  std::vector<membership::GossipReceived> mInbox;
+  bool mRuns = true;
+};
+
+Vm
+MakeVm(const std::string& aName, membership::Incarnation aIncarnation)
+{
+  const membership::Member balancer = MakeMember(aName, aIncarnation);
+  membership::DetectorSettings settings;
+  settings.mName = aName;
+  settings.mRegion = balancer.mRegion;
+  settings.mDomain = balancer.mDomain;
+  settings.mAgentAddress = balancer.mAgentAddress;
+  settings.mIncarnation = aIncarnation;
+  settings.mSeed = aIncarnation;
+  return { balancer, membership::Detector(settings), {} };
+}
+
+class Pair
+{
+public:
+  Pair()
+  {
+    membership::PublishedVms list{ 1, {} };
+    for (const Vm& it : mVms) {
+      list.mVms.push_back({ it.mBalancer.mName,
+                            it.mBalancer.mRegion,
+                            it.mBalancer.mDomain,
+                            it.mBalancer.mAgentAddress.mIp });
+    }
+    for (Vm& it : mVms) {
+      Feed(it, membership::VmsRead{ list });
+    }
+  }
+
+  void Run(Duration aTime)
+  {
+    for (const TimePoint end = mNow + aTime; mNow < end; mNow += kStep) {
+      for (Vm& it : mVms) {
+        Step(it);
+      }
+    }
+  }
+
+  Vm& At(size_t aIndex) { return mVms[aIndex]; }
+
+private:
+  void Step(Vm& aVm)
+  {
+    if (!aVm.mRuns) {
+      return;
+    }
+    const auto inbox = std::exchange(aVm.mInbox, {});
+    for (const auto& it : inbox) {
+      Feed(aVm, it);
+    }
+    Feed(aVm, membership::BalancerHeartbeat{ aVm.mBalancer });
+    Feed(aVm, membership::Tick{});
+  }
+
+  // A real program sends the gossip as a datagram; here it is put into the
+  // other's inbox.
+  void Feed(Vm& aVm, const membership::DetectorEvent& aEvent)
+  {
+    for (const auto& it : aVm.mDetector.Handle(mNow, aEvent)) {
+      if (const auto* send = std::get_if<membership::SendGossip>(&it)) {
+        Vm& other = &aVm == mVms.data() ? mVms[1] : mVms[0];
+        other.mInbox.push_back({ aVm.mBalancer.mAgentAddress, send->mGossip });
+      }
+    }
+  }
+
+  TimePoint mNow{ seconds(1000) };
+  std::array<Vm, 2> mVms{ MakeVm("a", 1), MakeVm("b", 2) };
+};
+
+} // namespace
+
+int
+main()
+{
+  Pair pair;
+  pair.Run(seconds(10));
+  Require(pair.At(0).mDetector.CurrentView()->mMembers.size() == 2,
+          "both in the view");
+
+  pair.At(1).mRuns = false;
+  pair.Run(seconds(10));
+  const membership::ViewPtr view = pair.At(0).mDetector.CurrentView();
+  Require(view->mMembers.size() == 1, "the silent one gone");
+  Require(view->Find("a") != nullptr, "the other one still there");
+}
--- /dev/null
+++ b/examples/WholeBalancer.cpp
@@ -0,0 +1,59 @@
+// Every decision of one balancer behind one class: datagrams and time go in,
+// actions come out.
+#include "Example.h"
+
+using namespace foxtail;
+using namespace foxtail::examples;
+
+namespace {
+
+template<typename Kind>
+const Kind&
+Find(const balancer::Actions& aActions)
+{
+  for (const balancer::Action& it : aActions.Items()) {
+    if (const auto* found = std::get_if<Kind>(&it)) {
+      return *found;
+    }
+  }
+  Require(false, "an action of this kind");
+  std::abort();
+}
+
+} // namespace
+
+int
+main()
+{
+  const TimePoint now{ seconds(1000) };
+  balancer::BalancerSettings settings;
+  settings.mVm = "vm-1";
+  settings.mFlows.mSelf = 1;
+  settings.mFlows.mRegion = "souss";
+  settings.mRequests.mEcho.mIncarnation = 1;
+  balancer::Balancer balancer(settings, now);
+  auto view = std::make_shared<membership::View>();
+  view->mSequence = 1;
+  view->mMembers = { MakeMember("vm-1", 1) };
+  balancer.SetView(view, now);
+  balancer.SetSnapshot(MakeSnapshot(), now);
+  Require(balancer.IsReady(), "ready with a view and a configuration");
+
+  balancer::Actions actions;
+  balancer.OnInbound(MakeFlow(),
+                     0,
+                     MakeRequest(coap::kGet, 1),
+                     now,
+                     WallTime(seconds(1'700'000'000)),
+                     actions);
+  const auto& send = Find<balancer::ToUpstream>(actions);
+  const Address upstream = send.mUpstream;
+  const std::string answer = MakeAnswer(actions.Bytes(send.mBytes), "balance");
+
+  actions.Clear();
+  balancer.OnUpstream(upstream, answer, now + milliseconds(3), actions);
+  const auto& reply = Find<balancer::ToCaller>(actions);
+  Require(coap::Decode(actions.Bytes(reply.mBytes)).mPayload == "balance",
+          "the answer on its way to the caller");
+  Require(balancer.Counters().mAnswered == 1, "one request answered");
+}
