--- a/benchmarks/ConfigBenchmark.cpp
+++ b/benchmarks/ConfigBenchmark.cpp
@@ -1,5 +1,7 @@
 #include <benchmark/benchmark.h>
 
+#include <malloc.h>
+
 #include "../tests/unit/Sample.h"
 #include "foxtail/config/Chain.h"
 
@@ -156,6 +158,20 @@
   aState.counters["bytes"] = static_cast<double>(text.size());
 }
 
+// Heap of a chain in force with its snapshot; bytes.
+void
+ChainMemory(benchmark::State& aState)
+{
+  size_t bytes = 0;
+  for (auto unused : aState) {
+    const auto before = mallinfo2();
+    const Chain chain = ChainOf(aState.range(0));
+    const auto after = mallinfo2();
+    bytes = after.uordblks + after.hblkhd - before.uordblks - before.hblkhd;
+  }
+  aState.counters["bytes"] = static_cast<double>(bytes);
+}
+
 } // namespace
 
 BENCHMARK(PatchFromPlatform)
@@ -172,6 +188,11 @@
   ->Arg(250)
   ->Arg(2500)
   ->Unit(benchmark::kMicrosecond);
+BENCHMARK(ChainMemory)
+  ->Arg(2)
+  ->Arg(77)
+  ->Arg(770)
+  ->Unit(benchmark::kMicrosecond);
 BENCHMARK(ParseDocument)
   ->Arg(2)
   ->Arg(77)
--- a/benchmarks/MembershipBenchmark.cpp
+++ b/benchmarks/MembershipBenchmark.cpp
@@ -1,5 +1,7 @@
 #include <benchmark/benchmark.h>
 
+#include <malloc.h>
+
 #include "InMemoryFleet.h"
 
 // What membership costs one VM. The argument is the number of VMs; rates are
@@ -99,14 +101,24 @@
   ->Iterations(1)
   ->Unit(benchmark::kMillisecond);
 
-// Processor time of one VM at rest: one step of 50 ms of the whole fleet,
-// divided by the VMs.
+size_t
+HeapBytes()
+{
+  const auto info = mallinfo2();
+  return info.uordblks + info.hblkhd;
+}
+
+// Processor time and memory of one VM at rest: one step of 50 ms of the whole
+// fleet, divided by the VMs.
 void
 MembershipStep(benchmark::State& aState)
 {
   const size_t vms = aState.range(0);
+  const size_t before = HeapBytes();
   InMemoryFleet fleet(vms);
   fleet.StartAll(150s);
+  aState.counters["bytes_per_vm"] =
+    static_cast<double>(HeapBytes() - before) / static_cast<double>(vms);
   for (auto it : aState) {
     fleet.Run(1s);
   }
@@ -114,6 +126,10 @@
     static_cast<double>(vms * aState.iterations()),
     benchmark::Counter::kIsRate | benchmark::Counter::kInvert);
 }
-BENCHMARK(MembershipStep)->Arg(7)->Arg(70)->Unit(benchmark::kMillisecond);
+BENCHMARK(MembershipStep)
+  ->Arg(7)
+  ->Arg(70)
+  ->Arg(720)
+  ->Unit(benchmark::kMillisecond);
 
 } // namespace
