--- a/src/agent/Agent.cpp
+++ b/src/agent/Agent.cpp
@@ -109,6 +109,16 @@
         return StatusText(c, mSettings.mVm.mName);
       });
     });
+    mStatus.Serve("/config", "application/json", [=](const auto&) {
+      return mCore.With([](AgentCore& c, TimePoint) {
+        if (!c.Chain().Current()) {
+          throw DaemonError(911, "agent", "no configuration yet");
+        }
+        const config::Base base{ c.Chain().Point(),
+                                 c.Chain().CurrentDocument().ToJson() };
+        return base.ToJson().dump() + "\n";
+      });
+    });
     mStatus.Serve("/ready", "application/json", [=](const auto&) {
       mCore.With([](AgentCore& c, TimePoint) {
         if (!c.Chain().Current()) {
