Tell every peer within the byte rate and walk flows slowly at rest

Cause: a batch was begun whenever any allowance was left, and its fixed 70 bytes used it up: at 72 and more peers empty batches went out for ever, no record and no grant followed.

--- a/include/foxtail/routing/FlowDirectory.h
+++ b/include/foxtail/routing/FlowDirectory.h
@@ -139,7 +139,9 @@
   void ExpireWaits(TimePoint aNow);
   config::ServiceIndex FindService(const FlowKey& aFlow) const;
   void RestartWalk();
+  size_t WalkStep(size_t aSlots, TimePoint aNow);
   void WalkSome(TimePoint aNow);
+  void TakeBatches(bool aDue, std::vector<RecordBatch>& aOut);
   void WalkFlow(FlowEntry& aEntry, TimePoint aNow);
   void WalkRecord(FlowEntry& aEntry, TimePoint aNow);
   bool IsDeviating(const FlowEntry& aEntry) const;
@@ -203,6 +205,10 @@
   uint64_t mWalkGeneration = 0;
   uint64_t mWalksDone = 0;
   TimePoint mLastTick;
+  TimePoint mLastWalk;
+  // Slots that the slow walk has earned and not yet looked at.
+  double mWalkCredit = 0;
+  Incarnation mLastServedPeer = 0;
   TimePoint mLastSend;
   TimePoint mLastRefresh;
   bool mRefreshing = false;
--- a/src/routing/FlowDirectory.cpp
+++ b/src/routing/FlowDirectory.cpp
@@ -18,6 +18,8 @@
 constexpr seconds kLeaveIsHeard{ 3 };
 // Flows looked at in one tick.
 constexpr size_t kWalkStep = 4000;
+// Time of one walk over all flows while nothing changes.
+constexpr std::chrono::duration<double> kSlowWalk{ 30 };
 // Bytes on the wire of one record and of one batch without records.
 constexpr double kRecordBytes = 4;
 constexpr double kBatchBytes = 70;
@@ -41,6 +43,7 @@
   , mRecords(aSettings.mMaxFlows, aNow)
   , mInheritsUntil(aNow + aSettings.mFlowIdle)
   , mLastTick(aNow)
+  , mLastWalk(aNow)
   , mLastRefresh(aNow)
 {
 }
@@ -463,11 +466,29 @@
   TellRecord(aEntry);
 }
 
+// After a change the walk hurries; otherwise it only forgets idle flows and
+// refreshes records, and takes its time.
+size_t
+FlowDirectory::WalkStep(size_t aSlots, TimePoint aNow)
+{
+  const Duration elapsed = aNow - mLastWalk;
+  mLastWalk = aNow;
+  if (mWalksDone < mWalkGeneration) {
+    mWalkCredit = 0;
+    return kWalkStep;
+  }
+  mWalkCredit += static_cast<double>(aSlots) *
+                 (std::chrono::duration<double>(elapsed) / kSlowWalk);
+  const auto step = static_cast<size_t>(mWalkCredit);
+  mWalkCredit -= static_cast<double>(step);
+  return std::min(step, kWalkStep);
+}
+
 void
 FlowDirectory::WalkSome(TimePoint aNow)
 {
   const size_t slots = mFlows.Slots() + mRecords.Slots();
-  const size_t end = std::min(mWalkSlot + kWalkStep, slots);
+  const size_t end = std::min(mWalkSlot + WalkStep(slots, aNow), slots);
   for (; mWalkSlot < end; ++mWalkSlot) {
     const bool isRecord = mWalkSlot >= mFlows.Slots();
     FlowEntry& entry = isRecord ? mRecords.Slot(mWalkSlot - mFlows.Slots())
@@ -545,11 +566,7 @@
   if (due) {
     mLastSend = aNow;
   }
-  for (auto& [incarnation, peer] : mPeers) {
-    if (mByteAllowance > 0 && (due || peer.mOwesGrant || peer.mIsUrgent)) {
-      TakeBatch(incarnation, peer, batches);
-    }
-  }
+  TakeBatches(due, batches);
   return batches;
 }
 
@@ -572,6 +589,25 @@
   }
 }
 
+// Goes on with the peer after the last one served, so that none has to wait
+// for ever when the allowance is short.
+void
+FlowDirectory::TakeBatches(bool aDue, std::vector<RecordBatch>& aOut)
+{
+  auto it = mPeers.upper_bound(mLastServedPeer);
+  for (size_t i = 0; i < mPeers.size(); ++i, ++it) {
+    if (mByteAllowance < kBatchBytes + kRecordBytes) {
+      return;
+    }
+    it = it == mPeers.end() ? mPeers.begin() : it;
+    Peer& peer = it->second;
+    if (aDue || peer.mOwesGrant || peer.mIsUrgent) {
+      TakeBatch(it->first, peer, aOut);
+      mLastServedPeer = it->first;
+    }
+  }
+}
+
 void
 FlowDirectory::BeginLeave(TimePoint aNow)
 {
