Keep a leaving balancer as former owner until its grant

Cause: a joiner dropped a balancer from its former owners as soon as a view called it Leaving, although that balancer had not met the joiner yet and so had told its flows to its next owners only. Those had granted already, under a view in which the leaving one still owned the flows, and did not tell them on. The joiner took the flows for ones at their default.

Ruled out: records that arrive after the grant of their own sender; the traced breaks show none told to the joiner before the break.

--- a/include/foxtail/routing/FlowDirectory.h
+++ b/include/foxtail/routing/FlowDirectory.h
@@ -135,6 +135,8 @@
   void RankOwners();
   void RankSettled();
   void ForgetGone(const OwnerRanking& aBefore, TimePoint aNow);
+  bool IsLeaving(Incarnation aPeer) const;
+  void ForgetElders();
   void MeetNew(const OwnerRanking& aBefore, TimePoint aNow);
   void ExpireWaits(TimePoint aNow);
   config::ServiceIndex FindService(const FlowKey& aFlow) const;
@@ -181,7 +183,7 @@
   OwnerRanking mElders;
   struct Wait
   {
-    TimePoint mSince;
+    TimePoint mUntil;
     // The peer was there before this balancer started, rather than out of
     // sight for a while.
     bool mSinceJoin;
--- a/src/routing/FlowDirectory.cpp
+++ b/src/routing/FlowDirectory.cpp
@@ -94,15 +94,43 @@
 void
 FlowDirectory::ForgetGone(const OwnerRanking& aBefore, TimePoint aNow)
 {
-  std::vector<Incarnation> elders = mElders.Candidates();
   for (const Incarnation it : aBefore.Candidates()) {
     if (mRanking.Contains(it) || it == mSettings.mSelf) {
       continue;
     }
-    elders.erase(std::remove(elders.begin(), elders.end(), it), elders.end());
     mGone.push_back({ it, aNow });
-    mAwaited.erase(it);
     mPeers.erase(it);
+    const auto wait = mAwaited.find(it);
+    if (wait != mAwaited.end()) {
+      wait->second.mUntil = std::min(wait->second.mUntil, aNow + kLeaveIsHeard);
+    }
+  }
+  ForgetElders();
+}
+
+bool
+FlowDirectory::IsLeaving(Incarnation aPeer) const
+{
+  return std::any_of(
+    mView->mMembers.begin(), mView->mMembers.end(), [&](const auto& it) {
+      return it.mIncarnation == aPeer &&
+             it.mState == membership::MemberState::Leaving;
+    });
+}
+
+// A leaving balancer may not have met this one yet, so that nobody told of the
+// flows that it served: it stays a former owner until its grant has come.
+void
+FlowDirectory::ForgetElders()
+{
+  std::vector<Incarnation> elders;
+  for (const Incarnation it : mElders.Candidates()) {
+    const bool isAwaited = mAwaited.contains(it) && IsLeaving(it);
+    if (mRanking.Contains(it) || isAwaited) {
+      elders.push_back(it);
+    } else {
+      mAwaited.erase(it);
+    }
   }
   mElders = OwnerRanking(std::move(elders));
 }
@@ -119,7 +147,7 @@
     // this one owns now.
     const bool metBefore = !mMet.insert(it).second;
     if (metBefore || it < mSettings.mSelf) {
-      mAwaited[it] = { aNow, !metBefore };
+      mAwaited[it] = { aNow + mSettings.mGrantTimeout, !metBefore };
       elders.push_back(it);
     }
     mPeers[it].mOwesGrant = true;
@@ -437,6 +465,7 @@
     !mSnapshot || aBatch.mConfigNumber >= mSnapshot->mVersion.mNumber;
   if (aBatch.mGrant && isCurrent && mAwaited.erase(aFrom) != 0) {
     mInheritsUntil = std::max(mInheritsUntil, aNow + mSettings.mFlowIdle);
+    ForgetElders();
   }
 }
 
@@ -556,6 +585,7 @@
 void
 FlowDirectory::ExpireWaits(TimePoint aNow)
 {
+  const size_t awaited = mAwaited.size();
   mGone.erase(std::remove_if(mGone.begin(),
                              mGone.end(),
                              [&](const Gone& g) {
@@ -563,13 +593,16 @@
                              }),
               mGone.end());
   for (auto it = mAwaited.begin(); it != mAwaited.end();) {
-    if (aNow - it->second.mSince < mSettings.mGrantTimeout) {
+    if (aNow < it->second.mUntil) {
       ++it;
       continue;
     }
     mInheritsUntil = std::max(mInheritsUntil, aNow + mSettings.mFlowIdle);
     mAwaited.erase(it++);
   }
+  if (mAwaited.size() != awaited) {
+    ForgetElders();
+  }
 }
 
 void
