--- a/tests/unit/PauseGuardTest.cpp
+++ b/tests/unit/PauseGuardTest.cpp
@@ -23,8 +23,8 @@
   SECTION("confirmed or not")
   {
     const bool isConfirmed = GENERATE(true, false);
-    const milliseconds hold = isConfirmed ? PauseGuard::kShortestHold
-                                          : PauseGuard::kLongestHold;
+    const milliseconds hold =
+      isConfirmed ? PauseGuard::kShortestHold : PauseGuard::kLongestHold;
     const TimePoint woke = start + seconds(6);
     guard.Run(woke);
     REQUIRE(guard.IsHolding());
