Share the daemons' main function and ask for the base only if it is newer

Every agent read the whole base each 90 s: 10,029 B/s by scripts/capacity, over 7,000. First reads of all daemons were spread over 0.5 s: 4,320 calls a second against 2,000. Ruled out: never reading the whole base again; a platform that counts anew would go unnoticed, so it is read each 30 min (902,590 B / 1,800 s = 501 B/s), and first reads are spread over 2 s (720 x 3 / 2 s = 1,080 calls a second). After: 'Agents as processes' passes, 42 assertions.

--- a/include/foxtail/agent/PlatformFeed.h
+++ b/include/foxtail/agent/PlatformFeed.h
@@ -27,7 +27,7 @@
   // Every agent reads the value once in half to one and a half of this time.
   static constexpr seconds kReadPeriod{ 90 };
   // The first reads of agents that start together are spread over this time.
-  static constexpr milliseconds kFirstReadSpread{ 500 };
+  static constexpr milliseconds kFirstReadSpread{ 2000 };
   static constexpr milliseconds kFirstBackoff{ 500 };
   static constexpr seconds kMaxBackoff{ 15 };
 
@@ -46,6 +46,7 @@
 
 private:
   void Step(net::PlatformClient& aClient, const daemon::StopToken& aStop);
+  void ReadAnew(net::PlatformClient& aClient);
   void Take(net::PlatformClient& aClient, const net::PlatformValue& aValue);
   void CountBytes(const net::PlatformClient& aClient);
   void NoteFailure(const Error& aError);
@@ -59,6 +60,7 @@
   std::mt19937_64 mRandom;
   uint64_t mIndex = 0;
   TimePoint mNextRead;
+  TimePoint mNextWholeRead;
   Duration mBackoff{ 0 };
 
   std::mutex mMutex;
--- a/include/foxtail/core/Event.h
+++ b/include/foxtail/core/Event.h
@@ -15,6 +15,10 @@
   Error
 };
 
+// "debug", "info", "warning" or "error".
+std::string_view
+SeverityName(Severity aSeverity);
+
 // One entry of the event catalogue. The number never changes its meaning;
 // docs/EVENTS.md is generated from the catalogue.
 struct EventInfo
--- a/src/agent/Agent.cpp
+++ b/src/agent/Agent.cpp
@@ -12,8 +12,8 @@
 #include "foxtail/agent/SharedCore.h"
 #include "foxtail/core/Error.h"
 #include "foxtail/core/Hash.h"
+#include "foxtail/daemon/DaemonMain.h"
 #include "foxtail/daemon/Log.h"
-#include "foxtail/daemon/Process.h"
 #include "foxtail/daemon/StatusServer.h"
 #include "foxtail/daemon/Supervisor.h"
 
@@ -137,7 +137,6 @@
   // VM follows when it has ended or the drain time has passed.
   void Drain()
   {
-    daemon::LogEvent({ 1002, "" });
     const TimePoint start = std::chrono::steady_clock::now();
     while (HasBalancer() && std::chrono::steady_clock::now() - start <
                               mSettings.mLimits.mDrain) {
@@ -186,28 +185,7 @@
                    " incarnation=",
                    state.mDetectorSettings.mIncarnation) });
 
-  StopToken stop;
-  StopToken ended;
-  std::thread signals([&] {
-    while (!daemon::StopRequested() && !ended.WaitFor(kLookForSignal)) {
-    }
-    if (!ended.IsRequested()) {
-      state.Drain();
-    }
-    stop.Request();
-  });
-  const auto join = [&] {
-    ended.Request();
-    signals.join();
-    state.mStatus.Stop();
-  };
-  try {
-    state.mTree.Run(stop);
-  } catch (...) {
-    join();
-    throw;
-  }
-  join();
+  daemon::RunUntilSignal(state.mTree, state.mStatus, [&] { state.Drain(); });
   daemon::LogEvent({ 1003, "" });
 }
 
--- a/src/agent/PlatformFeed.cpp
+++ b/src/agent/PlatformFeed.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr char kBase[] = "config.base";
+constexpr seconds kWholeBasePeriod{ 1800 };
 constexpr char kPatches[] = "config.patches";
 // How soon an agent notices that it has become a watcher.
 constexpr milliseconds kLookAgain{ 500 };
@@ -69,7 +70,7 @@
 PlatformFeed::Step(net::PlatformClient& aClient, const daemon::StopToken& aStop)
 {
   if (std::chrono::steady_clock::now() >= mNextRead) {
-    Take(aClient, aClient.Read(mName));
+    ReadAnew(aClient);
     mNextRead = std::chrono::steady_clock::now() + Jittered(kReadPeriod);
     return;
   }
@@ -88,6 +89,25 @@
   }
 }
 
+// The base is large and seldom changes, so it is mostly asked for only if it
+// is newer. A whole read now and then finds a platform that counts anew.
+void
+PlatformFeed::ReadAnew(net::PlatformClient& aClient)
+{
+  const TimePoint now = std::chrono::steady_clock::now();
+  if (mName != kBase || now >= mNextWholeRead) {
+    mNextWholeRead = now + Jittered(kWholeBasePeriod);
+    Take(aClient, aClient.Read(mName));
+    return;
+  }
+  const auto value = aClient.Watch(mName, mIndex, milliseconds(0));
+  if (value) {
+    Take(aClient, *value);
+  } else {
+    CountBytes(aClient);
+  }
+}
+
 void
 PlatformFeed::Take(net::PlatformClient& aClient,
                    const net::PlatformValue& aValue)
--- a/src/balancerd/BalancerDaemon.cpp
+++ b/src/balancerd/BalancerDaemon.cpp
@@ -8,8 +8,8 @@
 #include "foxtail/balancerd/DataPath.h"
 #include "foxtail/balancerd/PeerSender.h"
 #include "foxtail/core/Error.h"
+#include "foxtail/daemon/DaemonMain.h"
 #include "foxtail/daemon/Log.h"
-#include "foxtail/daemon/Process.h"
 #include "foxtail/daemon/StatusServer.h"
 #include "foxtail/net/PeerCodec.h"
 
@@ -197,7 +197,6 @@
   void Drain()
   {
     const TimePoint start = Now();
-    daemon::LogEvent({ 1002, "" });
     mMailbox.Post(
       [](balancer::Balancer& b, TimePoint aNow) { b.BeginLeave(aNow); });
     WaitUntil(start, [&] {
@@ -236,28 +235,7 @@
   state.mStatus.Start(state.mSettings.At(state.mSettings.mPorts.mBalancerHttp));
   daemon::LogEvent(
     { 1001, absl::StrCat("incarnation=", state.mDataPath.Incarnation()) });
-  StopToken stop;
-  StopToken ended;
-  std::thread signals([&] {
-    while (!daemon::StopRequested() && !ended.WaitFor(kLookForSignal)) {
-    }
-    if (!ended.IsRequested()) {
-      state.Drain();
-    }
-    stop.Request();
-  });
-  const auto join = [&] {
-    ended.Request();
-    signals.join();
-    state.mStatus.Stop();
-  };
-  try {
-    state.mTree.Run(stop);
-  } catch (...) {
-    join();
-    throw;
-  }
-  join();
+  daemon::RunUntilSignal(state.mTree, state.mStatus, [&] { state.Drain(); });
   state.mLink.SayEnded();
   daemon::LogEvent({ 1003, "" });
 }
--- a/src/core/Event.cpp
+++ b/src/core/Event.cpp
@@ -5,6 +5,22 @@
 
 namespace foxtail {
 
+std::string_view
+SeverityName(Severity aSeverity)
+{
+  switch (aSeverity) {
+    case Severity::Debug:
+      return "debug";
+    case Severity::Info:
+      return "info";
+    case Severity::Warning:
+      return "warning";
+    case Severity::Error:
+      break;
+  }
+  return "error";
+}
+
 const std::vector<EventInfo>&
 EventCatalogue()
 {
--- a/src/ctl/EventsCommand.cpp
+++ b/src/ctl/EventsCommand.cpp
@@ -5,26 +5,6 @@
 
 namespace foxtail::ctl {
 
-namespace {
-
-const char*
-Name(Severity aSeverity)
-{
-  switch (aSeverity) {
-    case Severity::Debug:
-      return "debug";
-    case Severity::Info:
-      return "info";
-    case Severity::Warning:
-      return "warning";
-    case Severity::Error:
-      break;
-  }
-  return "error";
-}
-
-} // namespace
-
 CommandResult
 ListEvents(const Arguments& aArguments)
 {
@@ -34,14 +14,15 @@
   for (const EventInfo& it : EventCatalogue()) {
     const std::string name(it.mName);
     const std::string meaning(it.mMeaning);
-    result.mJson.push_back({ { "id", it.mId },
-                             { "severity", Name(it.mSeverity) },
-                             { "name", name },
-                             { "meaning", meaning } });
+    result.mJson.push_back(
+      { { "id", it.mId },
+        { "severity", std::string(SeverityName(it.mSeverity)) },
+        { "name", name },
+        { "meaning", meaning } });
     absl::StrAppend(&result.mText,
                     it.mId,
                     " ",
-                    Name(it.mSeverity),
+                    std::string(SeverityName(it.mSeverity)),
                     " ",
                     name,
                     ": ",
--- a/src/daemon/Log.cpp
+++ b/src/daemon/Log.cpp
@@ -28,29 +28,13 @@
   return sIdentity;
 }
 
-const char*
-SeverityName(Severity aSeverity)
-{
-  switch (aSeverity) {
-    case Severity::Debug:
-      return "debug";
-    case Severity::Info:
-      return "info";
-    case Severity::Warning:
-      return "warning";
-    case Severity::Error:
-      return "error";
-  }
-  return "";
-}
-
 nlohmann::ordered_json
 EventJson(const Event& aEvent)
 {
   const EventInfo& info = FindEvent(aEvent.mId);
   return { { "event", info.mId },
            { "name", std::string(info.mName) },
-           { "severity", SeverityName(info.mSeverity) },
+           { "severity", std::string(SeverityName(info.mSeverity)) },
            { "process", ProcessIdentity().mProcess },
            { "vm", ProcessIdentity().mVm },
            { "detail", aEvent.mDetail } };
