--- a/include/foxtail/balancerd/AgentLink.h
+++ b/include/foxtail/balancerd/AgentLink.h
@@ -2,6 +2,7 @@
 #define foxtail_balancerd_AgentLink_h
 
 #include <atomic>
+#include <optional>
 #include <string>
 
 #include "foxtail/balancerd/DataPath.h"
@@ -45,6 +46,7 @@
   void OnReply(const net::LocalReply& aReply);
   void TakeView(const net::LocalReply& aReply);
   void TakeConfig(const net::ConfigReply& aReply);
+  void GiveSnapshot(bool aIsNewer, bool aIsConfirmed);
   void TakeLoads(const net::LocalReply& aReply);
   void Renew(routing::Incarnation aFloor);
 
@@ -54,6 +56,8 @@
   daemon::Metrics& mMetrics;
   config::Chain mChain;
   uint64_t mViewSequence = 0;
+  // When the balancer was renewed, until it has been given a configuration.
+  std::optional<TimePoint> mRenewed;
   std::atomic<bool> mIsLeaving{ false };
   std::atomic<bool> mLeaveTold{ false };
   std::atomic<TimePoint::rep> mLastAnswer;
--- a/src/balancerd/AgentLink.cpp
+++ b/src/balancerd/AgentLink.cpp
@@ -11,6 +11,8 @@
 
 constexpr milliseconds kInterval{ 250 };
 constexpr milliseconds kTimeout{ 1000 };
+// How long a renewed balancer waits for a configuration that is confirmed.
+constexpr seconds kLongestWait{ 4 };
 
 TimePoint
 Now()
@@ -116,7 +118,9 @@
     mMailbox.Post(
       [this](balancer::Balancer&, TimePoint) { mDataPath.ConfirmView(); });
   }
+  const config::Version before = mChain.Point().mVersion;
   TakeConfig(aReply.mConfig);
+  GiveSnapshot(mChain.Point().mVersion != before, !aReply.mViewInDoubt);
   TakeView(aReply);
   TakeLoads(aReply);
 }
@@ -127,14 +131,9 @@
 AgentLink::Renew(routing::Incarnation aFloor)
 {
   mViewSequence = 0;
-  mMailbox.Post([this, aFloor, snapshot = mChain.Current()](balancer::Balancer&,
-                                                            TimePoint aNow) {
+  mRenewed = Now();
+  mMailbox.Post([this, aFloor](balancer::Balancer&, TimePoint) {
     mDataPath.Renew(aFloor);
-    if (snapshot) {
-      mMailbox.Post([snapshot](balancer::Balancer& b, TimePoint aLater) {
-        b.SetSnapshot(snapshot, aLater);
-      });
-    }
   });
   daemon::LogEvent({ 3003, absl::StrCat("floor=", aFloor) });
 }
@@ -178,16 +177,24 @@
                     aReply.mVersion.mPosition };
   answer.mDocument = aReply.mDocumentJson;
   answer.mPatches = aReply.mPatchesJson;
-  const config::Version before = mChain.Point().mVersion;
   try {
     mChain.Offer(answer);
   } catch (const ConfigError& e) {
     daemon::LogEvent({ 2002, e.what() });
-    return;
   }
-  if (mChain.Point().mVersion == before || !mChain.Current()) {
+}
+
+// A renewed balancer waits for what the agent knows to be in force: flows that
+// it inherits would else go by the defaults of an old version.
+void
+AgentLink::GiveSnapshot(bool aIsNewer, bool aIsConfirmed)
+{
+  const bool isWaiting =
+    mRenewed.has_value() && !aIsConfirmed && Now() - *mRenewed < kLongestWait;
+  if (!mChain.Current() || isWaiting || (!aIsNewer && !mRenewed)) {
     return;
   }
+  mRenewed.reset();
   daemon::LogEvent(
     { 2001, absl::StrCat("number=", mChain.Point().mVersion.mNumber) });
   mMailbox.Post(
