--- a/include/foxtail/daemon/StatusServer.h
+++ b/include/foxtail/daemon/StatusServer.h
@@ -10,11 +10,13 @@
 
 namespace foxtail::daemon {
 
-// What a query asks for, "/explain?caller=A&service=B".
+// What a query asks for, "/explain?caller=A&service=B" or
+// "/replica?after=N".
 struct StatusQuery
 {
   std::string mCaller;
   std::string mService;
+  std::string mAfter;
 };
 
 // Answers operators and scrapers over HTTP: /metrics (text) and JSON documents
--- /dev/null
+++ b/include/foxtail/flow/Fleet.h
@@ -0,0 +1,101 @@
+#ifndef foxtail_flow_Fleet_h
+#define foxtail_flow_Fleet_h
+
+#include <map>
+#include <optional>
+#include <random>
+#include <vector>
+
+#include "foxtail/core/Event.h"
+#include "foxtail/core/Time.h"
+#include "foxtail/flow/PeerMessages.h"
+
+namespace foxtail::flow {
+
+// The balancers that this one hears of, itself included. Beats go to all peers
+// while they are few and to a random few of them when they are many, so that
+// the cost for each balancer does not grow with the fleet. Not thread-safe.
+class Fleet
+{
+public:
+  // Interval of beats. Ten a second to kFanout peers with kGossipRecords each
+  // stay within 7 KB/s.
+  static constexpr milliseconds kBeatPeriod{ 100 };
+  // Peers that one beat goes to.
+  static constexpr size_t kFanout = 8;
+  // Other members named in one beat.
+  static constexpr size_t kGossipRecords = 3;
+  // A peer that all beats reach is taken for dead after this silence: three
+  // beats may be lost or late.
+  static constexpr milliseconds kDirectSilence{ 350 };
+  // The same when pulses come by way of others.
+  static constexpr milliseconds kGossipSilence{ 4000 };
+  // First time for which a broker that doesn't answer is left out; doubles
+  // with each time up to kLongestSuspicion.
+  static constexpr milliseconds kSuspicion{ 1000 };
+  static constexpr milliseconds kLongestSuspicion{ 8000 };
+  // Members that were silent for this long are forgotten.
+  static constexpr seconds kForget{ 30 };
+
+  Fleet(MemberRecord aSelf, std::vector<VmIp> aSeeds, uint64_t aSeed);
+
+  const MemberRecord& Self() const { return mSelf; }
+  void SetReady(bool aIsReady) { mSelf.mIsReady = aIsReady; }
+
+  // A beat came from this address. Returns what changed, to be logged.
+  std::vector<Event> Hear(TimePoint aNow, VmIp aFrom, const Beat& aBeat);
+
+  // A beat without its revisions, if one is due, and whom to send it to.
+  struct Round
+  {
+    std::vector<VmIp> mTargets;
+    Beat mBeat;
+  };
+  std::optional<Round> Due(TimePoint aNow);
+  TimePoint NextDue() const { return mNextBeat; }
+
+  // Looks for members that went silent; returns what changed.
+  std::vector<Event> Expire(TimePoint aNow);
+
+  // A broker did not answer; it is left out for a while.
+  void Suspect(TimePoint aNow, VmIp aBroker);
+  void Trust(VmIp aBroker);
+
+  // The balancer that brokers the slots of a service, by rendezvous hash over
+  // ready members. Balancers with the same view agree; this one if there is
+  // no other.
+  VmIp BrokerOf(TimePoint aNow, uint32_t aService) const;
+
+  // How many live ready members come before this one in turn for reading the
+  // publisher, by rendezvous hash.
+  size_t ReaderRank(TimePoint aNow) const;
+
+  bool IsAlive(TimePoint aNow, VmIp aMember) const;
+  size_t AliveCount(TimePoint aNow) const;
+  // No live peer of this failure domain is heard, though some were before.
+  bool IsDomainSilent(TimePoint aNow, const std::string& aDomain) const;
+
+private:
+  struct Member
+  {
+    MemberRecord mRecord;
+    TimePoint mHeard;
+    bool mWasAlive = true;
+    TimePoint mSuspectUntil;
+    Duration mSuspicion = kSuspicion;
+  };
+
+  bool Merge(TimePoint aNow, const MemberRecord& aRecord);
+  bool IsHeard(TimePoint aNow, const Member& aMember) const;
+  std::vector<VmIp> PickTargets();
+
+  MemberRecord mSelf;
+  std::vector<VmIp> mSeeds;
+  std::mt19937_64 mRandom;
+  std::map<VmIp, Member> mMembers;
+  TimePoint mNextBeat;
+};
+
+} // namespace foxtail::flow
+
+#endif
--- /dev/null
+++ b/include/foxtail/flow/FlowBalancer.h
@@ -0,0 +1,244 @@
+#ifndef foxtail_flow_FlowBalancer_h
+#define foxtail_flow_FlowBalancer_h
+
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "foxtail/core/Event.h"
+#include "foxtail/core/Time.h"
+#include "foxtail/flow/Directory.h"
+#include "foxtail/flow/Fleet.h"
+#include "foxtail/flow/Ledger.h"
+#include "foxtail/flow/PeerMessages.h"
+#include "foxtail/flow/SlotBroker.h"
+
+namespace foxtail::flow {
+
+// Actions: what the owner of the sockets does for the balancer.
+
+// Send the packet to the upstream, with this cookie in it.
+struct ForwardPacket
+{
+  Address mUpstream;
+  uint64_t mInstance = 0;
+  Cookie mCookie = 0;
+  std::string mBytes;
+};
+// Tell the caller that its flow is refused. Only sent while the flow is not
+// open, so the request has certainly not run.
+struct ResetFlow
+{
+  FlowKey mKey;
+};
+struct SendToPeer
+{
+  VmIp mPeer = 0;
+  PeerMessage mMessage;
+};
+// Ask the publisher for what changed after this revision.
+struct ReadPublisher
+{
+  Revision mAfter = 0;
+  // Nothing is known yet: read everything.
+  bool mWhole = false;
+};
+// Ask a peer for what changed after this revision.
+struct ReadPeer
+{
+  VmIp mPeer = 0;
+  Revision mAfter = 0;
+};
+struct LogLine
+{
+  Event mEvent;
+};
+using FlowAction = std::variant<ForwardPacket,
+                                ResetFlow,
+                                SendToPeer,
+                                ReadPublisher,
+                                ReadPeer,
+                                LogLine>;
+using FlowActions = std::vector<FlowAction>;
+
+struct FlowBalancerSettings
+{
+  MemberRecord mSelf;
+  std::vector<VmIp> mSeeds;
+  uint64_t mSeed = 0;
+  // The whole fleet starts now, so peers know nothing either.
+  bool mIsFirstStart = false;
+};
+
+// What happened, since the start.
+struct FlowCounters
+{
+  uint64_t mPackets = 0;
+  uint64_t mOpenings = 0;
+  uint64_t mPlaced = 0;
+  uint64_t mOpened = 0;
+  uint64_t mOfferedAgain = 0;
+  uint64_t mRefusedNoRoute = 0;
+  uint64_t mRefusedFull = 0;
+  uint64_t mUnknownCookie = 0;
+  uint64_t mBrokerTimeouts = 0;
+};
+
+// Forwards the flows of transport connections whose answers take a direct way
+// back. Opening packets are placed with the service's broker; every other
+// packet is forwarded by its cookie, without any record of the flow, so any
+// balancer can take it. Does no I/O. Not thread-safe.
+class FlowBalancer
+{
+public:
+  // A report without an answer is sent again after this time: twice the usual
+  // way to a broker in another failure domain and a late timer.
+  static constexpr milliseconds kReportRetry{ 12 };
+  // Reports without an answer until the broker is taken for dead.
+  static constexpr uint32_t kReportTries = 2;
+  // A released slot is reported with the next request or after this time.
+  static constexpr milliseconds kReleaseDelay{ 6 };
+  // A balancer that holds slots or waits for some reports this often.
+  static constexpr milliseconds kReportPeriod{ 200 };
+  // Least time for an upstream to answer an opening packet and the caller to
+  // confirm it; the usual time is learned.
+  static constexpr milliseconds kLeastHandshake{ 25 };
+  static constexpr milliseconds kMostHandshake{ 180 };
+  // Upstreams that one opening packet is offered to at most.
+  static constexpr uint32_t kOffers = 4;
+  // Callers give up on an opening packet after this time.
+  static constexpr milliseconds kOpeningLife{ 1400 };
+  // The first in turn reads the publisher this long after the last
+  // confirmation, each next one later: changes must be in force in 3 s.
+  static constexpr milliseconds kReadPeriod{ 500 };
+  static constexpr milliseconds kReadTurn{ 350 };
+  static constexpr size_t kMostTurns = 4;
+  // A read that is not answered is followed by the next one after this time.
+  static constexpr milliseconds kReadRetry{ 200 };
+  // Silence of the publisher or of a peer during a read.
+  static constexpr milliseconds kReadTimeout{ 1000 };
+  // A starting balancer that is no seed gives its peers this long to tell it
+  // all, so that a fleet that starts doesn't read the publisher at once.
+  static constexpr milliseconds kPeersFirst{ 250 };
+
+  FlowBalancer(TimePoint aNow, const FlowBalancerSettings& aSettings);
+
+  FlowActions OnPacket(TimePoint aNow, const Packet& aPacket);
+  FlowActions OnPeer(TimePoint aNow, VmIp aFrom, const PeerMessage& aMessage);
+  // A read ended with this update; empty when it failed.
+  FlowActions OnRead(TimePoint aNow,
+                     const std::optional<ReplicaUpdate>& aUpdate,
+                     const std::string& aSource);
+  FlowActions OnTimer(TimePoint aNow);
+  // When OnTimer must be called at the latest.
+  TimePoint NextDue(TimePoint aNow) const;
+
+  // No new broker duties; everything else goes on.
+  void Leave();
+
+  // It can serve: it has a configuration and upstreams.
+  bool IsReady() const { return mDirectory.IsUsable() && !mIsLeaving; }
+  bool HasOpenings() const { return !mOpenings.empty(); }
+
+  const Directory& Replica() const { return mDirectory; }
+  const Fleet& Peers() const { return mFleet; }
+  const FlowCounters& Counters() const { return mCounters; }
+  const Ledger& Flows() const { return mLedger; }
+  const SlotBroker& Broker() const { return mBroker; }
+
+private:
+  struct Opening
+  {
+    uint64_t mId = 0;
+    FlowKey mKey;
+    std::string mBytes;
+    uint32_t mSequence = 0;
+    uint32_t mService = 0;
+    TimePoint mArrived;
+    milliseconds mObjective{ 0 };
+    uint32_t mPriority = 0;
+    // The upstream it is offered to; zero while it waits for a slot.
+    Cookie mUpstream = 0;
+    TimePoint mOfferedAt;
+    uint32_t mOffers = 0;
+    std::vector<Cookie> mExcluded;
+  };
+  // This balancer's side of the brokering of one service.
+  struct Account
+  {
+    std::string mName;
+    VmIp mBroker = 0;
+    uint64_t mSequence = 0;
+    uint64_t mAnswered = 0;
+    uint64_t mGrantsSeen = 0;
+    uint32_t mTries = 0;
+    TimePoint mSentAt;
+    bool mAwaitsReply = false;
+    // When something is to be reported; empty for nothing.
+    std::optional<TimePoint> mDue;
+    std::vector<Cookie> mSilent;
+    std::vector<AnswerTime> mAnswers;
+  };
+
+  void OnMessage(TimePoint aNow, VmIp aFrom, const Beat& aBeat);
+  void OnMessage(TimePoint aNow, VmIp aFrom, const SlotReport& aReport);
+  void OnMessage(TimePoint aNow, VmIp aFrom, const SlotReply& aReply);
+
+  void Open(TimePoint aNow, const Packet& aPacket);
+  void OpenAgain(TimePoint aNow, Opening& aOpening);
+  void Offer(TimePoint aNow, Opening& aOpening, Cookie aUpstream);
+  void Refuse(TimePoint aNow, const Opening& aOpening, const char* aReason);
+  void ForwardTo(const Upstream& aUpstream, std::string_view aBytes);
+  void Progress(TimePoint aNow,
+                const Packet& aPacket,
+                const Upstream& aUpstream);
+  void Close(uint64_t aId);
+
+  Account& AccountOf(const std::string& aService);
+  void RequestReport(TimePoint aNow, Account& aAccount, Duration aDelay);
+  void Report(TimePoint aNow, uint32_t aService, Account& aAccount);
+  void Deliver(TimePoint aNow, const std::vector<SlotBroker::Reply>& aReplies);
+  void CheckOpenings(TimePoint aNow);
+  void CheckAccounts(TimePoint aNow);
+  void CheckReads(TimePoint aNow);
+  Duration ReadPatience(TimePoint aNow) const;
+  Duration HandshakeLimit() const;
+
+  void Log(int aEvent, std::string aDetail);
+  FlowActions TakeActions();
+
+  FlowBalancerSettings mSettings;
+  Directory mDirectory;
+  Fleet mFleet;
+  Ledger mLedger;
+  SlotBroker mBroker;
+  FlowCounters mCounters;
+  struct KeyHash
+  {
+    size_t operator()(const FlowKey& aKey) const { return aKey.Hash(); }
+  };
+  std::unordered_map<uint64_t, Opening> mOpenings;
+  std::unordered_map<FlowKey, uint64_t, KeyHash> mOpeningByKey;
+  uint64_t mLastOpening = 0;
+  std::map<uint32_t, Account> mAccounts;
+  // Usual time of a handshake and its usual deviation.
+  Duration mHandshake = milliseconds(10);
+  Duration mHandshakeDeviation = milliseconds(4);
+
+  TimePoint mStarted;
+  bool mIsReading = false;
+  TimePoint mReadStarted;
+  TimePoint mNextRead;
+  // A peer that knows more than this balancer.
+  VmIp mAhead = 0;
+  TimePoint mNextHousekeeping;
+  bool mIsLeaving = false;
+  FlowActions mActions;
+};
+
+} // namespace foxtail::flow
+
+#endif
--- /dev/null
+++ b/include/foxtail/flow/Ledger.h
@@ -0,0 +1,96 @@
+#ifndef foxtail_flow_Ledger_h
+#define foxtail_flow_Ledger_h
+
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "foxtail/core/Time.h"
+#include "foxtail/flow/Packet.h"
+
+namespace foxtail::flow {
+
+// How many slots of an upstream are held.
+struct SlotCount
+{
+  Cookie mUpstream = 0;
+  uint32_t mCount = 0;
+};
+
+// What a packet told about its flow.
+struct FlowProgress
+{
+  // The caller confirmed the upstream's answer to its opening packet; how long
+  // that took. Empty for every other packet.
+  std::optional<Duration> mHandshake;
+  // The first bytes of an answer came, this long after the request began.
+  std::optional<Duration> mAnswer;
+  // A slot became free.
+  bool mReleased = false;
+};
+
+// Flows whose packets pass here, and which upstream slots they hold. Answers
+// don't pass here: that one came shows in what the caller acknowledges. The
+// ledger is an estimate for placing new flows, not needed for forwarding.
+// Not thread-safe.
+class Ledger
+{
+public:
+  // A flow that is silent for this long no longer counts: the caller went
+  // away or its packets take another way. Three times the longest usual work.
+  static constexpr milliseconds kBusySilence{ 2000 };
+  // Idle flows are forgotten sooner than callers close them; the next request
+  // makes them known again.
+  static constexpr seconds kIdleSilence{ 10 };
+
+  // A new flow was placed at this upstream.
+  void Place(TimePoint aNow, const FlowKey& aKey, Cookie aUpstream);
+  // The flow will not open there.
+  void Withdraw(const FlowKey& aKey);
+  // A packet other than an opening one passes to this upstream.
+  FlowProgress Pass(TimePoint aNow, const Packet& aPacket, Cookie aUpstream);
+  // Drops silent flows; returns whether a slot became free.
+  bool Expire(TimePoint aNow);
+  // Drops the flows of an upstream that ended.
+  void Drop(Cookie aUpstream);
+
+  uint32_t Held(Cookie aUpstream) const;
+  std::vector<SlotCount> AllHeld() const;
+  size_t Flows() const { return mFlows.size(); }
+
+private:
+  enum class Phase
+  {
+    // The upstream has not been confirmed by the caller.
+    Opening,
+    // A request is at the upstream.
+    Busy,
+    // Open, with nothing to do.
+    Idle
+  };
+  struct Flow
+  {
+    Cookie mUpstream = 0;
+    Phase mPhase = Phase::Opening;
+    TimePoint mPhaseSince;
+    TimePoint mLastPacket;
+    uint32_t mAcknowledged = 0;
+  };
+  struct KeyHash
+  {
+    size_t operator()(const FlowKey& aKey) const { return aKey.Hash(); }
+  };
+  using FlowMap = std::unordered_map<FlowKey, Flow, KeyHash>;
+
+  Flow& Adopt(TimePoint aNow, const Packet& aPacket, Cookie aUpstream);
+  void SetPhase(TimePoint aNow, Flow& aFlow, Phase aPhase);
+  void Erase(FlowMap::iterator aFlow);
+  static bool Holds(Phase aPhase) { return aPhase != Phase::Idle; }
+
+  FlowMap mFlows;
+  std::unordered_map<Cookie, uint32_t> mHeld;
+};
+
+} // namespace foxtail::flow
+
+#endif
--- /dev/null
+++ b/include/foxtail/flow/SlotBroker.h
@@ -0,0 +1,134 @@
+#ifndef foxtail_flow_SlotBroker_h
+#define foxtail_flow_SlotBroker_h
+
+#include <map>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "foxtail/core/Time.h"
+#include "foxtail/flow/Directory.h"
+#include "foxtail/flow/PeerMessages.h"
+
+namespace foxtail::flow {
+
+// Hands out the slots of services to all balancers of the fleet. It knows what
+// every balancer holds, so it places a new flow where fewest wait, and keeps
+// what exceeds the slots in one short queue in place of many at the upstreams.
+// What it knows is soft: balancers report all they hold each time, so another
+// broker can take over at any moment. Not thread-safe.
+class SlotBroker
+{
+public:
+  // Flows for each slot: a slot is idle for two round trips between callers,
+  // upstreams and balancers while one flow ends and the next one opens.
+  static constexpr double kFlowsPerSlot = 1.34;
+  // A balancer that doesn't report for this long holds nothing any more.
+  static constexpr milliseconds kReportLife{ 1000 };
+  // A flow that waited this long is refused: callers give up on an opening
+  // packet after 1.4 s, and a refusal in time lets them try again.
+  static constexpr milliseconds kLongestWait{ 1000 };
+  // An upstream that left an opening packet unanswered is left out this long;
+  // doubles with each further one up to kLongestSilence.
+  static constexpr milliseconds kFirstSilence{ 150 };
+  static constexpr milliseconds kLongestSilence{ 2000 };
+  // Share of one more answer time in the mean of an upstream.
+  static constexpr double kAnswerShare = 0.15;
+
+  explicit SlotBroker(uint64_t aSeed);
+
+  struct Reply
+  {
+    VmIp mTo = 0;
+    SlotReply mReply;
+  };
+
+  // A balancer reports; aDirectory has the upstreams.
+  std::vector<Reply> Take(TimePoint aNow,
+                          VmIp aFrom,
+                          const SlotReport& aReport,
+                          const std::string& aService,
+                          const Directory& aDirectory);
+
+  // Refuses what waited too long, forgets silent balancers.
+  std::vector<Reply> Tick(TimePoint aNow, const Directory& aDirectory);
+
+  // Flows that wait for a slot of any service.
+  size_t Waiting() const;
+
+private:
+  struct PendingGrant
+  {
+    SlotGrant mGrant;
+    TimePoint mAt;
+  };
+  struct Waiter
+  {
+    VmIp mFrom = 0;
+    SlotRequest mRequest;
+    TimePoint mArrived;
+  };
+  // What one balancer said of one service.
+  struct Reporter
+  {
+    uint64_t mIncarnation = 0;
+    uint64_t mSequence = 0;
+    TimePoint mHeard;
+    std::string mDomain;
+    std::vector<SlotCount> mHeld;
+    std::vector<PendingGrant> mPending;
+    uint64_t mLastGrant = 0;
+    std::vector<uint64_t> mRefused;
+    bool mReplyDue = false;
+  };
+  // How an upstream behaves towards the balancers of one failure domain.
+  struct Silence
+  {
+    uint32_t mMisses = 0;
+    TimePoint mUntil;
+  };
+  struct Pool
+  {
+    std::string mName;
+    std::map<VmIp, Reporter> mReporters;
+    std::vector<Waiter> mQueue;
+    std::map<std::pair<std::string, Cookie>, Silence> mSilences;
+    std::unordered_map<Cookie, double> mAnswerMs;
+    double mMeanAnswerMs = 0;
+  };
+  struct Candidate
+  {
+    Cookie mUpstream = 0;
+    const Upstream* mRecord = nullptr;
+    uint32_t mLoad = 0;
+    double mSlowness = 1;
+    double mLimit = 0;
+  };
+
+  void Learn(TimePoint aNow, Pool& aPool, const SlotReport& aReport);
+  void Enqueue(TimePoint aNow,
+               Pool& aPool,
+               VmIp aFrom,
+               const SlotReport& aReport);
+  std::vector<Candidate> Candidates(TimePoint aNow,
+                                    const Pool& aPool,
+                                    const Directory& aDirectory) const;
+  void Schedule(TimePoint aNow, Pool& aPool, const Directory& aDirectory);
+  Candidate* Choose(TimePoint aNow,
+                    Pool& aPool,
+                    std::vector<Candidate>& aCandidates,
+                    const Waiter& aWaiter);
+  void GrantTo(TimePoint aNow,
+               Pool& aPool,
+               const Waiter& aWaiter,
+               Cookie aUpstream);
+  static std::vector<Reply> Replies(uint32_t aService, Pool& aPool);
+
+  std::map<uint32_t, Pool> mPools;
+  std::mt19937_64 mRandom;
+};
+
+} // namespace foxtail::flow
+
+#endif
--- a/include/foxtail/net/PlatformClient.h
+++ b/include/foxtail/net/PlatformClient.h
@@ -2,7 +2,6 @@
 #define foxtail_net_PlatformClient_h
 
 #include <cstdint>
-#include <memory>
 #include <optional>
 #include <string>
 
@@ -10,6 +9,7 @@
 
 #include "foxtail/core/Address.h"
 #include "foxtail/core/Time.h"
+#include "foxtail/net/HttpCaller.h"
 
 namespace foxtail::net {
 
@@ -22,19 +22,8 @@
   nlohmann::json mValue;
 };
 
-// What HTTP carried, in bytes, without the headers of TCP and IP.
-struct CallBytes
-{
-  uint64_t mSent = 0;
-  uint64_t mReceived = 0;
-};
-
-// Longest times that a call waits; a watch adds its own wait to mAnswer.
-struct PlatformTimeouts
-{
-  milliseconds mConnect{ 1000 };
-  milliseconds mAnswer{ 3000 };
-};
+// A watch adds its own wait to mAnswer.
+using PlatformTimeouts = CallTimeouts;
 
 // Reads and watches values of the platform over HTTP. Calls block; use one
 // client for each thread. Failures are PlatformError: 801 not reachable, 802
@@ -46,7 +35,6 @@
 public:
   explicit PlatformClient(const Address& aPlatform,
                           PlatformTimeouts aTimeouts = {});
-  ~PlatformClient();
 
   // The value as it is.
   PlatformValue Read(const std::string& aName);
@@ -59,24 +47,16 @@
                                      milliseconds aWait);
 
   // Ends the call that another thread waits in, and every later one, with 809.
-  void Stop();
+  void Stop() { mCaller.Stop(); }
 
   // Bytes of the last call, failed or not.
-  const CallBytes& LastBytes() const { return mLastBytes; }
+  const CallBytes& LastBytes() const { return mCaller.LastBytes(); }
 
 private:
-  struct State;
-
   // The body; empty for 304.
   std::optional<std::string> Call(const std::string& aPath, milliseconds aWait);
-  std::string CallOnce(const std::string& aPath,
-                       milliseconds aWait,
-                       int& aStatus);
 
-  std::string mWhere;
-  PlatformTimeouts mTimeouts;
-  CallBytes mLastBytes;
-  std::unique_ptr<State> mState;
+  HttpCaller mCaller;
 };
 
 } // namespace foxtail::net
--- a/src/daemon/StatusServer.cpp
+++ b/src/daemon/StatusServer.cpp
@@ -43,7 +43,8 @@
       const httplib::Request& aRequest, httplib::Response& aResponse) {
       try {
         const StatusQuery query{ aRequest.get_param_value("caller"),
-                                 aRequest.get_param_value("service") };
+                                 aRequest.get_param_value("service"),
+                                 aRequest.get_param_value("after") };
         aResponse.set_content(handler(query), aContentType);
       } catch (const Error& e) {
         aResponse.status = 400;
--- /dev/null
+++ b/src/flow/Directory.cpp
@@ -0,0 +1,320 @@
+#include "foxtail/flow/Directory.h"
+
+#include <algorithm>
+#include <set>
+
+#include "absl/strings/str_cat.h"
+
+#include "foxtail/core/Hash.h"
+
+namespace foxtail::flow {
+
+namespace {
+
+const std::vector<Cookie> kNoCookies;
+
+const char*
+StateName(UpstreamState aState)
+{
+  switch (aState) {
+    case UpstreamState::Ready:
+      return "ready";
+    case UpstreamState::Draining:
+      return "draining";
+    case UpstreamState::Unusable:
+      break;
+  }
+  return "unusable";
+}
+
+// Whether aNew says something that decisions depend on.
+bool
+Differs(const UpstreamRecord& aOld, const UpstreamRecord& aNew)
+{
+  return aOld.mState != aNew.mState || aOld.mAddress != aNew.mAddress ||
+         aOld.mService != aNew.mService || aOld.mDomain != aNew.mDomain ||
+         aOld.mSlots != aNew.mSlots || aOld.mStarted != aNew.mStarted;
+}
+
+} // namespace
+
+Cookie
+CookieOf(uint64_t aInstance)
+{
+  const auto low = static_cast<Cookie>(aInstance);
+  const bool fits = aInstance == low && low != 0;
+  if (fits) {
+    return low;
+  }
+  const auto mixed = static_cast<Cookie>(MixHash(aInstance, 1));
+  return mixed != 0 ? mixed : 1;
+}
+
+std::vector<Event>
+Directory::Apply(TimePoint aNow,
+                 const ReplicaUpdate& aUpdate,
+                 const std::string& aSource)
+{
+  mEvents.clear();
+  mChanged = false;
+  for (const UpstreamRecord& it : aUpdate.mUpstreams) {
+    TakeUpstream(aNow, it, aSource);
+  }
+  for (const RemovedRecord& it : aUpdate.mRemoved) {
+    TakeRemoval(aNow, it);
+  }
+  if (aUpdate.mConfiguration) {
+    TakeConfiguration(*aUpdate.mConfiguration, aSource);
+  }
+  if (aUpdate.mIsComplete) {
+    RemoveAbsent(aNow, aUpdate);
+    mHasListing = true;
+  }
+  const TimePoint confirmedAt = aNow - aUpdate.mAge;
+  const bool isNewer = aUpdate.mConfirmed > mConfirmed;
+  const bool isFresher =
+    aUpdate.mConfirmed == mConfirmed && confirmedAt > mConfirmedAt;
+  if (isNewer || isFresher) {
+    mConfirmed = aUpdate.mConfirmed;
+    mConfirmedAt = std::max(mConfirmedAt, confirmedAt);
+  }
+  if (mChanged) {
+    Reindex();
+  }
+  return std::move(mEvents);
+}
+
+bool
+Directory::IsKnown(Revision aRevision) const
+{
+  return mHasListing && aRevision <= mConfirmed;
+}
+
+void
+Directory::TakeUpstream(TimePoint aNow,
+                        const UpstreamRecord& aRecord,
+                        const std::string& aSource)
+{
+  if (IsKnown(aRecord.mRevision)) {
+    return;
+  }
+  const auto it = mUpstreams.find(aRecord.mId);
+  const bool isKnown = it != mUpstreams.end();
+  if (isKnown && it->second.mRecord.mRevision >= aRecord.mRevision) {
+    return;
+  }
+  const bool matters =
+    !isKnown || it->second.mIsGone || Differs(it->second.mRecord, aRecord);
+  if (!matters) {
+    return;
+  }
+  Upstream& upstream = mUpstreams[aRecord.mId];
+  // A malformed record says nothing reliable about where its flows go.
+  const bool keepsPlace = isKnown && aRecord.mState == UpstreamState::Unusable;
+  if (keepsPlace) {
+    upstream.mRecord.mState = aRecord.mState;
+    upstream.mRecord.mRevision = aRecord.mRevision;
+  } else {
+    upstream.mRecord = aRecord;
+  }
+  upstream.mCookie = CookieOf(upstream.mRecord.mInstance);
+  upstream.mIsGone = false;
+  upstream.mColdUntil = aNow + aRecord.mCold;
+  mNewest = std::max(mNewest, aRecord.mRevision);
+  mChanged = true;
+  mEvents.push_back({ 2101,
+                      absl::StrCat("upstream=",
+                                   aRecord.mId,
+                                   " service=",
+                                   aRecord.mService,
+                                   " address=",
+                                   upstream.mRecord.mAddress.ToString(),
+                                   " state=",
+                                   StateName(aRecord.mState),
+                                   " started=",
+                                   aRecord.mStarted,
+                                   " revision=",
+                                   aRecord.mRevision,
+                                   " source=",
+                                   aSource) });
+}
+
+void
+Directory::TakeRemoval(TimePoint aNow, const RemovedRecord& aRecord)
+{
+  const auto it = mUpstreams.find(aRecord.mId);
+  if (IsKnown(aRecord.mRevision) || it == mUpstreams.end() ||
+      it->second.mIsGone || it->second.mRecord.mRevision >= aRecord.mRevision) {
+    return;
+  }
+  Upstream& upstream = it->second;
+  upstream.mIsGone = true;
+  upstream.mGoneAt = aNow;
+  upstream.mWentWhileReady = upstream.mRecord.mState == UpstreamState::Ready;
+  upstream.mRecord.mRevision = aRecord.mRevision;
+  mNewest = std::max(mNewest, aRecord.mRevision);
+  mChanged = true;
+  mEvents.push_back({ 2102,
+                      absl::StrCat("upstream=",
+                                   aRecord.mId,
+                                   " was=",
+                                   StateName(upstream.mRecord.mState),
+                                   " revision=",
+                                   aRecord.mRevision) });
+}
+
+void
+Directory::TakeConfiguration(const Configuration& aConfiguration,
+                             const std::string& aSource)
+{
+  const bool isNewer =
+    !mConfiguration || (aConfiguration.mVersion > mConfiguration->mVersion &&
+                        aConfiguration.mRevision > mConfiguration->mRevision);
+  if (!isNewer) {
+    const bool isOlder = aConfiguration.mVersion < mConfiguration->mVersion;
+    if (isOlder) {
+      mEvents.push_back({ 2003,
+                          absl::StrCat("version=",
+                                       aConfiguration.mVersion,
+                                       " in_force=",
+                                       mConfiguration->mVersion,
+                                       " source=",
+                                       aSource) });
+    }
+    return;
+  }
+  mConfiguration = aConfiguration;
+  mNewest = std::max(mNewest, aConfiguration.mRevision);
+  mRoutes.clear();
+  for (size_t i = 0; i < mConfiguration->mRoutes.size(); ++i) {
+    mRoutes[mConfiguration->mRoutes[i].mService] = i;
+  }
+  mEvents.push_back({ 2001,
+                      absl::StrCat("version=",
+                                   aConfiguration.mVersion,
+                                   " routes=",
+                                   aConfiguration.mRoutes.size(),
+                                   " revision=",
+                                   aConfiguration.mRevision,
+                                   " source=",
+                                   aSource) });
+}
+
+void
+Directory::RemoveAbsent(TimePoint aNow, const ReplicaUpdate& aUpdate)
+{
+  std::set<std::string> present;
+  for (const UpstreamRecord& it : aUpdate.mUpstreams) {
+    present.insert(it.mId);
+  }
+  std::vector<std::string> absent;
+  for (const auto& [id, upstream] : mUpstreams) {
+    const bool isOlder = upstream.mRecord.mRevision < aUpdate.mConfirmed;
+    if (isOlder && !upstream.mIsGone && present.count(id) == 0) {
+      absent.push_back(id);
+    }
+  }
+  // The exact revisions of these removals are not known.
+  for (const std::string& it : absent) {
+    TakeRemoval(aNow, { it, aUpdate.mConfirmed });
+  }
+}
+
+void
+Directory::Reindex()
+{
+  mByCookie.clear();
+  mByService.clear();
+  for (auto& [id, upstream] : mUpstreams) {
+    const auto [it, isFirst] = mByCookie.emplace(upstream.mCookie, id);
+    upstream.mCollides = !isFirst;
+    if (isFirst) {
+      mByService[upstream.mRecord.mService].push_back(upstream.mCookie);
+      continue;
+    }
+    mEvents.push_back(
+      { 2103, absl::StrCat("upstream=", id, " other=", it->second) });
+  }
+}
+
+void
+Directory::Expire(TimePoint aNow)
+{
+  bool changed = false;
+  for (auto it = mUpstreams.begin(); it != mUpstreams.end();) {
+    const Upstream& upstream = it->second;
+    if (upstream.mIsGone && aNow - upstream.mGoneAt >= kKeepGone) {
+      mForgotten = std::max(mForgotten, upstream.mRecord.mRevision);
+      it = mUpstreams.erase(it);
+      changed = true;
+    } else {
+      ++it;
+    }
+  }
+  if (changed) {
+    Reindex();
+  }
+}
+
+ReplicaUpdate
+Directory::Since(TimePoint aNow, Revision aAfter) const
+{
+  ReplicaUpdate update;
+  update.mConfirmed = mConfirmed;
+  update.mAge = std::chrono::duration_cast<milliseconds>(aNow - mConfirmedAt);
+  // A peer that may have missed a removal that is forgotten here gets all.
+  update.mIsComplete = aAfter <= mForgotten;
+  const Revision after = update.mIsComplete ? 0 : aAfter;
+  for (const auto& [id, upstream] : mUpstreams) {
+    if (upstream.mRecord.mRevision <= after) {
+      continue;
+    }
+    if (upstream.mIsGone) {
+      update.mRemoved.push_back({ id, upstream.mRecord.mRevision });
+      continue;
+    }
+    update.mUpstreams.push_back(upstream.mRecord);
+    update.mUpstreams.back().mCold = std::max(
+      milliseconds(0),
+      std::chrono::duration_cast<milliseconds>(upstream.mColdUntil - aNow));
+  }
+  if (mConfiguration && mConfiguration->mRevision > after) {
+    update.mConfiguration = mConfiguration;
+  }
+  return update;
+}
+
+const Route*
+Directory::FindRoute(const Address& aService) const
+{
+  const auto it = mRoutes.find(aService);
+  return it == mRoutes.end() ? nullptr : &mConfiguration->mRoutes[it->second];
+}
+
+const Upstream*
+Directory::FindUpstream(Cookie aCookie) const
+{
+  const auto it = mByCookie.find(aCookie);
+  return it == mByCookie.end() ? nullptr : &mUpstreams.at(it->second);
+}
+
+const std::vector<Cookie>&
+Directory::UpstreamsOf(const std::string& aService) const
+{
+  const auto it = mByService.find(aService);
+  return it == mByService.end() ? kNoCookies : it->second;
+}
+
+bool
+Directory::TakesNewFlows(const Upstream& aUpstream, TimePoint aNow)
+{
+  if (aUpstream.mCollides) {
+    return false;
+  }
+  if (aUpstream.mIsGone) {
+    return aUpstream.mWentWhileReady && aNow - aUpstream.mGoneAt < kReturnTime;
+  }
+  return aUpstream.mRecord.mState == UpstreamState::Ready;
+}
+
+} // namespace foxtail::flow
--- /dev/null
+++ b/src/flow/Fleet.cpp
@@ -0,0 +1,248 @@
+#include "foxtail/flow/Fleet.h"
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+
+#include "foxtail/core/Hash.h"
+
+namespace foxtail::flow {
+
+namespace {
+
+// Keeps the ranks of readers apart from those of brokers.
+constexpr uint64_t kReaderSeed = 0x7EAD;
+
+std::string
+Describe(const MemberRecord& aRecord)
+{
+  return absl::StrCat("vm=",
+                      Address{ aRecord.mIp, 0 }.IpString(),
+                      " domain=",
+                      aRecord.mDomain,
+                      " incarnation=",
+                      aRecord.mIncarnation);
+}
+
+} // namespace
+
+Fleet::Fleet(MemberRecord aSelf, std::vector<VmIp> aSeeds, uint64_t aSeed)
+  : mSelf(std::move(aSelf))
+  , mSeeds(std::move(aSeeds))
+  , mRandom(aSeed)
+{
+  mSeeds.erase(std::remove(mSeeds.begin(), mSeeds.end(), mSelf.mIp),
+               mSeeds.end());
+}
+
+bool
+Fleet::Merge(TimePoint aNow, const MemberRecord& aRecord)
+{
+  if (aRecord.mIp == mSelf.mIp || aRecord.mIp == 0) {
+    return false;
+  }
+  const auto it = mMembers.find(aRecord.mIp);
+  const bool isNew = it == mMembers.end() ||
+                     it->second.mRecord.mIncarnation < aRecord.mIncarnation;
+  if (isNew) {
+    mMembers[aRecord.mIp] = { aRecord, aNow, true, {}, kSuspicion };
+    return true;
+  }
+  Member& member = it->second;
+  const bool isNewer = member.mRecord.mIncarnation == aRecord.mIncarnation &&
+                       member.mRecord.mPulse < aRecord.mPulse;
+  if (!isNewer) {
+    return false;
+  }
+  const bool returned = !member.mWasAlive;
+  member.mRecord = aRecord;
+  member.mHeard = aNow;
+  member.mWasAlive = true;
+  return returned;
+}
+
+std::vector<Event>
+Fleet::Hear(TimePoint aNow, VmIp aFrom, const Beat& aBeat)
+{
+  std::vector<Event> events;
+  if (aBeat.mSelf.mIp != aFrom) {
+    events.push_back({ 7001,
+                       absl::StrCat("from=",
+                                    Address{ aFrom, 0 }.IpString(),
+                                    " reason=beat-of-another-vm") });
+    return events;
+  }
+  if (Merge(aNow, aBeat.mSelf)) {
+    events.push_back(
+      { 3101, absl::StrCat(Describe(aBeat.mSelf), " heard=directly") });
+  }
+  for (const MemberRecord& it : aBeat.mOthers) {
+    if (Merge(aNow, it)) {
+      events.push_back({ 3101,
+                         absl::StrCat(Describe(it),
+                                      " heard=from ",
+                                      Address{ aFrom, 0 }.IpString()) });
+    }
+  }
+  return events;
+}
+
+std::vector<VmIp>
+Fleet::PickTargets()
+{
+  std::vector<VmIp> targets;
+  for (const auto& [ip, member] : mMembers) {
+    targets.push_back(ip);
+  }
+  if (targets.size() > kFanout) {
+    std::shuffle(targets.begin(), targets.end(), mRandom);
+    targets.resize(kFanout);
+  }
+  // A seed that is not known yet may be starting or cut off.
+  for (const VmIp it : mSeeds) {
+    if (mMembers.count(it) == 0) {
+      targets.push_back(it);
+    }
+  }
+  return targets;
+}
+
+std::optional<Fleet::Round>
+Fleet::Due(TimePoint aNow)
+{
+  if (aNow < mNextBeat) {
+    return std::nullopt;
+  }
+  mNextBeat = aNow + kBeatPeriod;
+  ++mSelf.mPulse;
+  Round round;
+  round.mTargets = PickTargets();
+  round.mBeat.mSelf = mSelf;
+  std::vector<MemberRecord> others;
+  for (const auto& [ip, member] : mMembers) {
+    if (member.mWasAlive) {
+      others.push_back(member.mRecord);
+    }
+  }
+  std::shuffle(others.begin(), others.end(), mRandom);
+  others.resize(std::min(others.size(), kGossipRecords));
+  round.mBeat.mOthers = std::move(others);
+  return round;
+}
+
+bool
+Fleet::IsHeard(TimePoint aNow, const Member& aMember) const
+{
+  const Duration limit = mMembers.size() <= kFanout ? Duration(kDirectSilence)
+                                                    : Duration(kGossipSilence);
+  return aNow - aMember.mHeard < limit;
+}
+
+std::vector<Event>
+Fleet::Expire(TimePoint aNow)
+{
+  std::vector<Event> events;
+  for (auto it = mMembers.begin(); it != mMembers.end();) {
+    Member& member = it->second;
+    const bool isAlive = IsHeard(aNow, member);
+    if (!isAlive && member.mWasAlive) {
+      events.push_back({ 3102,
+                         absl::StrCat(Describe(member.mRecord),
+                                      " silent_ms=",
+                                      std::chrono::duration_cast<milliseconds>(
+                                        aNow - member.mHeard)
+                                        .count()) });
+    }
+    member.mWasAlive = isAlive;
+    const bool isForgotten = aNow - member.mHeard >= kForget;
+    it = isForgotten ? mMembers.erase(it) : std::next(it);
+  }
+  return events;
+}
+
+void
+Fleet::Suspect(TimePoint aNow, VmIp aBroker)
+{
+  const auto it = mMembers.find(aBroker);
+  if (it == mMembers.end()) {
+    return;
+  }
+  Member& member = it->second;
+  member.mSuspectUntil = aNow + member.mSuspicion;
+  member.mSuspicion =
+    std::min<Duration>(member.mSuspicion * 2, kLongestSuspicion);
+}
+
+void
+Fleet::Trust(VmIp aBroker)
+{
+  const auto it = mMembers.find(aBroker);
+  if (it != mMembers.end()) {
+    it->second.mSuspicion = kSuspicion;
+  }
+}
+
+VmIp
+Fleet::BrokerOf(TimePoint aNow, uint32_t aService) const
+{
+  VmIp best = mSelf.mIp;
+  uint64_t bestWeight = mSelf.mIsReady ? MixHash(aService, mSelf.mIp) : 0;
+  for (const auto& [ip, member] : mMembers) {
+    const bool serves = member.mRecord.mIsReady && IsHeard(aNow, member) &&
+                        member.mSuspectUntil <= aNow;
+    const uint64_t weight = MixHash(aService, ip);
+    if (serves && weight > bestWeight) {
+      best = ip;
+      bestWeight = weight;
+    }
+  }
+  return best;
+}
+
+size_t
+Fleet::ReaderRank(TimePoint aNow) const
+{
+  const uint64_t own = MixHash(kReaderSeed, mSelf.mIp);
+  const auto ahead =
+    std::count_if(mMembers.begin(), mMembers.end(), [&](const auto& it) {
+      return it.second.mRecord.mIsReady && IsHeard(aNow, it.second) &&
+             MixHash(kReaderSeed, it.first) > own;
+    });
+  return static_cast<size_t>(ahead);
+}
+
+bool
+Fleet::IsAlive(TimePoint aNow, VmIp aMember) const
+{
+  const auto it = mMembers.find(aMember);
+  return aMember == mSelf.mIp ||
+         (it != mMembers.end() && IsHeard(aNow, it->second));
+}
+
+size_t
+Fleet::AliveCount(TimePoint aNow) const
+{
+  const auto alive =
+    std::count_if(mMembers.begin(), mMembers.end(), [&](const auto& it) {
+      return IsHeard(aNow, it.second);
+    });
+  return static_cast<size_t>(alive) + 1;
+}
+
+bool
+Fleet::IsDomainSilent(TimePoint aNow, const std::string& aDomain) const
+{
+  bool known = false;
+  for (const auto& [ip, member] : mMembers) {
+    if (member.mRecord.mDomain != aDomain) {
+      continue;
+    }
+    known = true;
+    if (IsHeard(aNow, member)) {
+      return false;
+    }
+  }
+  return known && aDomain != mSelf.mDomain;
+}
+
+} // namespace foxtail::flow
--- /dev/null
+++ b/src/flow/Ledger.cpp
@@ -0,0 +1,158 @@
+#include "foxtail/flow/Ledger.h"
+
+#include <cassert>
+
+namespace foxtail::flow {
+
+void
+Ledger::Place(TimePoint aNow, const FlowKey& aKey, Cookie aUpstream)
+{
+  Withdraw(aKey);
+  Flow& flow = mFlows[aKey];
+  flow.mUpstream = aUpstream;
+  flow.mPhase = Phase::Opening;
+  flow.mPhaseSince = aNow;
+  flow.mLastPacket = aNow;
+  ++mHeld[aUpstream];
+}
+
+void
+Ledger::Withdraw(const FlowKey& aKey)
+{
+  const auto it = mFlows.find(aKey);
+  if (it != mFlows.end()) {
+    Erase(it);
+  }
+}
+
+FlowProgress
+Ledger::Pass(TimePoint aNow, const Packet& aPacket, Cookie aUpstream)
+{
+  FlowProgress progress;
+  const auto it = mFlows.find(aPacket.mKey);
+  const bool ends = aPacket.mFinishes || aPacket.mResets;
+  if (it == mFlows.end()) {
+    // The request itself, or what follows an answer: only the first holds a
+    // slot.
+    if (!ends && aPacket.mLength > 0) {
+      Adopt(aNow, aPacket, aUpstream);
+    }
+    return progress;
+  }
+  Flow& flow = it->second;
+  flow.mLastPacket = aNow;
+  const bool opens = flow.mPhase == Phase::Opening;
+  if (opens) {
+    progress.mHandshake = aNow - flow.mPhaseSince;
+    flow.mAcknowledged = aPacket.mAcknowledgement;
+    SetPhase(aNow, flow, Phase::Busy);
+  }
+  // Sequence numbers wrap; the difference as a signed number doesn't mind.
+  const auto gained =
+    static_cast<int32_t>(aPacket.mAcknowledgement - flow.mAcknowledged);
+  if (gained > 0) {
+    flow.mAcknowledged = aPacket.mAcknowledgement;
+    if (flow.mPhase == Phase::Busy) {
+      progress.mAnswer = aNow - flow.mPhaseSince;
+      progress.mReleased = true;
+      SetPhase(aNow, flow, Phase::Idle);
+    }
+  }
+  const bool asksAgain = aPacket.mLength > 0 && flow.mPhase == Phase::Idle;
+  if (asksAgain) {
+    SetPhase(aNow, flow, Phase::Busy);
+    progress.mReleased = false;
+  }
+  if (ends) {
+    progress.mReleased |= Holds(flow.mPhase);
+    Erase(it);
+  }
+  return progress;
+}
+
+bool
+Ledger::Expire(TimePoint aNow)
+{
+  bool released = false;
+  for (auto it = mFlows.begin(); it != mFlows.end();) {
+    const Flow& flow = it->second;
+    const bool holds = Holds(flow.mPhase);
+    const Duration limit = holds ? Duration(kBusySilence) : kIdleSilence;
+    const auto next = std::next(it);
+    if (aNow - flow.mLastPacket >= limit) {
+      released |= holds;
+      Erase(it);
+    }
+    it = next;
+  }
+  return released;
+}
+
+void
+Ledger::Drop(Cookie aUpstream)
+{
+  for (auto it = mFlows.begin(); it != mFlows.end();) {
+    const auto next = std::next(it);
+    if (it->second.mUpstream == aUpstream) {
+      Erase(it);
+    }
+    it = next;
+  }
+}
+
+uint32_t
+Ledger::Held(Cookie aUpstream) const
+{
+  const auto it = mHeld.find(aUpstream);
+  return it == mHeld.end() ? 0 : it->second;
+}
+
+std::vector<SlotCount>
+Ledger::AllHeld() const
+{
+  std::vector<SlotCount> held;
+  held.reserve(mHeld.size());
+  for (const auto& [upstream, count] : mHeld) {
+    held.push_back({ upstream, count });
+  }
+  return held;
+}
+
+Ledger::Flow&
+Ledger::Adopt(TimePoint aNow, const Packet& aPacket, Cookie aUpstream)
+{
+  Flow& flow = mFlows[aPacket.mKey];
+  flow = { aUpstream, Phase::Busy, aNow, aNow, aPacket.mAcknowledgement };
+  ++mHeld[aUpstream];
+  return flow;
+}
+
+void
+Ledger::SetPhase(TimePoint aNow, Flow& aFlow, Phase aPhase)
+{
+  const bool held = Holds(aFlow.mPhase);
+  const bool holds = Holds(aPhase);
+  aFlow.mPhase = aPhase;
+  aFlow.mPhaseSince = aNow;
+  if (held == holds) {
+    return;
+  }
+  if (holds) {
+    ++mHeld[aFlow.mUpstream];
+    return;
+  }
+  const auto it = mHeld.find(aFlow.mUpstream);
+  assert(it != mHeld.end() && it->second > 0);
+  if (--it->second == 0) {
+    mHeld.erase(it);
+  }
+}
+
+void
+Ledger::Erase(FlowMap::iterator aFlow)
+{
+  SetPhase(aFlow->second.mLastPacket, aFlow->second, Phase::Idle);
+  mFlows.erase(aFlow);
+}
+
+} // namespace foxtail::flow
--- /dev/null
+++ b/src/flow/SlotBroker.cpp
@@ -0,0 +1,330 @@
+#include "foxtail/flow/SlotBroker.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace foxtail::flow {
+
+namespace {
+
+// A single long answer must not mark an upstream as slow.
+constexpr double kLongestCounted = 4.0;
+// Bounds of how much slower than its service an upstream is taken to be.
+constexpr double kLeastSlowness = 0.8;
+constexpr double kMostSlowness = 6.0;
+// A cold upstream works about this much longer.
+constexpr double kColdSlowness = 1.6;
+// Weight of the difference between failure domains: less than one flow.
+constexpr double kOtherDomain = 0.05;
+
+// Whether the answer can still come within its objective, given that work
+// takes about aWork.
+bool
+CanBeInTime(TimePoint aNow,
+            TimePoint aArrived,
+            milliseconds aObjective,
+            double aWorkMs)
+{
+  const auto work = std::chrono::duration_cast<Duration>(
+    std::chrono::duration<double, std::milli>(aWorkMs));
+  return aNow + work <= aArrived + aObjective;
+}
+
+} // namespace
+
+SlotBroker::SlotBroker(uint64_t aSeed)
+  : mRandom(aSeed)
+{
+}
+
+std::vector<SlotBroker::Reply>
+SlotBroker::Take(TimePoint aNow,
+                 VmIp aFrom,
+                 const SlotReport& aReport,
+                 const std::string& aService,
+                 const Directory& aDirectory)
+{
+  Pool& pool = mPools[aReport.mService];
+  pool.mName = aService;
+  Reporter& reporter = pool.mReporters[aFrom];
+  if (reporter.mIncarnation != aReport.mIncarnation) {
+    if (reporter.mIncarnation > aReport.mIncarnation) {
+      return {};
+    }
+    reporter = {};
+    reporter.mIncarnation = aReport.mIncarnation;
+  }
+  if (aReport.mSequence <= reporter.mSequence) {
+    return {};
+  }
+  reporter.mSequence = aReport.mSequence;
+  reporter.mHeard = aNow;
+  reporter.mDomain = aReport.mDomain;
+  reporter.mHeld = aReport.mHeld;
+  reporter.mLastGrant = std::max(reporter.mLastGrant, aReport.mGrantsSeen);
+  auto& pending = reporter.mPending;
+  pending.erase(std::remove_if(pending.begin(),
+                               pending.end(),
+                               [&](const PendingGrant& it) {
+                                 return it.mGrant.mNumber <=
+                                        aReport.mGrantsSeen;
+                               }),
+                pending.end());
+  reporter.mReplyDue = !aReport.mRequests.empty();
+  Learn(aNow, pool, aReport);
+  Enqueue(aNow, pool, aFrom, aReport);
+  Schedule(aNow, pool, aDirectory);
+  return Replies(aReport.mService, pool);
+}
+
+void
+SlotBroker::Learn(TimePoint aNow, Pool& aPool, const SlotReport& aReport)
+{
+  for (const AnswerTime& it : aReport.mAnswers) {
+    aPool.mSilences.erase({ aReport.mDomain, it.mUpstream });
+    const auto time = static_cast<double>(it.mTime.count());
+    double& service = aPool.mMeanAnswerMs;
+    service = service == 0 ? time : service + (time - service) * 0.02;
+    const double counted = std::min(time, kLongestCounted * service);
+    const auto [entry, isFirst] =
+      aPool.mAnswerMs.emplace(it.mUpstream, service);
+    entry->second += (counted - entry->second) * kAnswerShare;
+  }
+  for (const Cookie it : aReport.mSilent) {
+    Silence& silence = aPool.mSilences[{ aReport.mDomain, it }];
+    const Duration time = std::min<Duration>(
+      Duration(kFirstSilence) * (1U << std::min(silence.mMisses, 5U)),
+      kLongestSilence);
+    ++silence.mMisses;
+    silence.mUntil = aNow + time;
+  }
+}
+
+void
+SlotBroker::Enqueue(TimePoint aNow,
+                    Pool& aPool,
+                    VmIp aFrom,
+                    const SlotReport& aReport)
+{
+  auto& queue = aPool.mQueue;
+  queue.erase(
+    std::remove_if(queue.begin(),
+                   queue.end(),
+                   [&](const Waiter& it) { return it.mFrom == aFrom; }),
+    queue.end());
+  const auto& pending = aPool.mReporters[aFrom].mPending;
+  for (const SlotRequest& it : aReport.mRequests) {
+    const bool isGranted = std::any_of(
+      pending.begin(), pending.end(), [&](const PendingGrant& grant) {
+        return grant.mGrant.mId == it.mId;
+      });
+    if (!isGranted) {
+      queue.push_back({ aFrom, it, aNow - it.mWaited });
+    }
+  }
+}
+
+std::vector<SlotBroker::Candidate>
+SlotBroker::Candidates(TimePoint aNow,
+                       const Pool& aPool,
+                       const Directory& aDirectory) const
+{
+  std::unordered_map<Cookie, uint32_t> loads;
+  for (const auto& [ip, reporter] : aPool.mReporters) {
+    for (const SlotCount& it : reporter.mHeld) {
+      loads[it.mUpstream] += it.mCount;
+    }
+    for (const PendingGrant& it : reporter.mPending) {
+      ++loads[it.mGrant.mUpstream];
+    }
+  }
+  std::vector<Candidate> candidates;
+  for (const Cookie it : aDirectory.UpstreamsOf(aPool.mName)) {
+    const Upstream* upstream = aDirectory.FindUpstream(it);
+    if (!Directory::TakesNewFlows(*upstream, aNow)) {
+      continue;
+    }
+    Candidate candidate;
+    candidate.mUpstream = it;
+    candidate.mRecord = upstream;
+    const auto load = loads.find(it);
+    candidate.mLoad = load == loads.end() ? 0 : load->second;
+    const auto answer = aPool.mAnswerMs.find(it);
+    if (answer != aPool.mAnswerMs.end() && aPool.mMeanAnswerMs > 0) {
+      candidate.mSlowness = std::clamp(
+        answer->second / aPool.mMeanAnswerMs, kLeastSlowness, kMostSlowness);
+    }
+    if (upstream->mColdUntil > aNow) {
+      candidate.mSlowness = std::max(candidate.mSlowness, kColdSlowness);
+    }
+    const double slots = std::max(1U, upstream->mRecord.mSlots);
+    candidate.mLimit = std::max(
+      1.0,
+      std::floor(slots * kFlowsPerSlot / std::max(1.0, candidate.mSlowness)));
+    candidates.push_back(candidate);
+  }
+  return candidates;
+}
+
+void
+SlotBroker::Schedule(TimePoint aNow, Pool& aPool, const Directory& aDirectory)
+{
+  if (aPool.mQueue.empty()) {
+    return;
+  }
+  std::vector<Candidate> candidates = Candidates(aNow, aPool, aDirectory);
+  auto& queue = aPool.mQueue;
+  const double work = aPool.mMeanAnswerMs;
+  // Those that can be in time first, the urgent and the old before others.
+  const auto rank = [&](const Waiter& it) {
+    const bool late =
+      !CanBeInTime(aNow, it.mArrived, it.mRequest.mObjective, work);
+    return std::make_tuple(late, it.mRequest.mPriority, it.mArrived);
+  };
+  std::stable_sort(
+    queue.begin(), queue.end(), [&](const Waiter& a, const Waiter& b) {
+      return rank(a) < rank(b);
+    });
+  std::vector<Waiter> left;
+  for (const Waiter& it : queue) {
+    Candidate* chosen = Choose(aNow, aPool, candidates, it);
+    if (chosen != nullptr) {
+      ++chosen->mLoad;
+      GrantTo(aNow, aPool, it, chosen->mUpstream);
+      continue;
+    }
+    const bool isHopeless =
+      candidates.empty() || aNow - it.mArrived >= kLongestWait;
+    if (isHopeless) {
+      Reporter& reporter = aPool.mReporters[it.mFrom];
+      reporter.mRefused.push_back(it.mRequest.mId);
+      reporter.mReplyDue = true;
+      continue;
+    }
+    left.push_back(it);
+  }
+  queue = std::move(left);
+}
+
+SlotBroker::Candidate*
+SlotBroker::Choose(TimePoint aNow,
+                   Pool& aPool,
+                   std::vector<Candidate>& aCandidates,
+                   const Waiter& aWaiter)
+{
+  const std::string& domain = aPool.mReporters[aWaiter.mFrom].mDomain;
+  const auto& excluded = aWaiter.mRequest.mExcluded;
+  Candidate* best = nullptr;
+  double bestScore = 0;
+  bool bestIsSilent = true;
+  std::uniform_real_distribution<double> tie(0, 0.01);
+  for (Candidate& it : aCandidates) {
+    const auto silence = aPool.mSilences.find({ domain, it.mUpstream });
+    const bool wasSilent = silence != aPool.mSilences.end();
+    const bool isExcluded =
+      std::find(excluded.begin(), excluded.end(), it.mUpstream) !=
+      excluded.end();
+    // A silent upstream is tried with one flow at a time.
+    const bool isSilent =
+      isExcluded ||
+      (wasSilent && (silence->second.mUntil > aNow || it.mLoad > 0));
+    const double slots = std::max(1U, it.mRecord->mRecord.mSlots);
+    double score = (it.mLoad + 1) / slots * it.mSlowness + tie(mRandom);
+    if (it.mRecord->mRecord.mDomain != domain) {
+      score += kOtherDomain;
+    }
+    const bool isBetter = best == nullptr || isSilent < bestIsSilent ||
+                          (isSilent == bestIsSilent && score < bestScore);
+    if (it.mLoad < it.mLimit && isBetter) {
+      best = &it;
+      bestScore = score;
+      bestIsSilent = isSilent;
+    }
+  }
+  // While others are merely busy, waiting beats an upstream that is silent.
+  const bool othersAnswer = std::any_of(
+    aCandidates.begin(), aCandidates.end(), [&](const Candidate& it) {
+      return aPool.mSilences.count({ domain, it.mUpstream }) == 0;
+    });
+  if (best != nullptr && bestIsSilent && othersAnswer) {
+    return nullptr;
+  }
+  return best;
+}
+
+void
+SlotBroker::GrantTo(TimePoint aNow,
+                    Pool& aPool,
+                    const Waiter& aWaiter,
+                    Cookie aUpstream)
+{
+  Reporter& reporter = aPool.mReporters[aWaiter.mFrom];
+  const SlotGrant grant{ aWaiter.mRequest.mId,
+                         ++reporter.mLastGrant,
+                         aUpstream };
+  reporter.mPending.push_back({ grant, aNow });
+  reporter.mReplyDue = true;
+}
+
+std::vector<SlotBroker::Reply>
+SlotBroker::Replies(uint32_t aService, Pool& aPool)
+{
+  std::vector<Reply> replies;
+  for (auto& [ip, reporter] : aPool.mReporters) {
+    if (!reporter.mReplyDue) {
+      continue;
+    }
+    reporter.mReplyDue = false;
+    Reply reply;
+    reply.mTo = ip;
+    reply.mReply.mIncarnation = reporter.mIncarnation;
+    reply.mReply.mSequence = reporter.mSequence;
+    reply.mReply.mService = aService;
+    for (const PendingGrant& it : reporter.mPending) {
+      reply.mReply.mGrants.push_back(it.mGrant);
+    }
+    reply.mReply.mRefused = std::move(reporter.mRefused);
+    reporter.mRefused.clear();
+    replies.push_back(std::move(reply));
+  }
+  return replies;
+}
+
+std::vector<SlotBroker::Reply>
+SlotBroker::Tick(TimePoint aNow, const Directory& aDirectory)
+{
+  std::vector<Reply> replies;
+  for (auto& [service, pool] : mPools) {
+    for (auto it = pool.mReporters.begin(); it != pool.mReporters.end();) {
+      const VmIp ip = it->first;
+      const bool isSilent = aNow - it->second.mHeard >= kReportLife;
+      if (!isSilent) {
+        ++it;
+        continue;
+      }
+      auto& queue = pool.mQueue;
+      queue.erase(
+        std::remove_if(queue.begin(),
+                       queue.end(),
+                       [ip](const Waiter& w) { return w.mFrom == ip; }),
+        queue.end());
+      it = pool.mReporters.erase(it);
+    }
+    Schedule(aNow, pool, aDirectory);
+    std::vector<Reply> more = Replies(service, pool);
+    replies.insert(replies.end(), more.begin(), more.end());
+  }
+  return replies;
+}
+
+size_t
+SlotBroker::Waiting() const
+{
+  size_t n = 0;
+  for (const auto& [service, pool] : mPools) {
+    n += pool.mQueue.size();
+  }
+  return n;
+}
+
+} // namespace foxtail::flow
--- /dev/null
+++ b/src/net/FlowCodec.cpp
@@ -0,0 +1,207 @@
+#include "foxtail/net/FlowCodec.h"
+
+#include "Flow.pb.h"
+
+#include "foxtail/core/Error.h"
+
+namespace foxtail::net {
+
+namespace {
+
+constexpr int kNoMessage = 740;
+constexpr int kOutOfRange = 741;
+// An hour: longer times come from a broken sender.
+constexpr uint64_t kMostMilliseconds = 3600 * 1000;
+// Lists are cut to this many entries, so that a datagram stays small.
+constexpr int kMostEntries = 60;
+
+uint32_t
+ToWire(milliseconds aTime)
+{
+  return static_cast<uint32_t>(
+    std::min<int64_t>(std::max<int64_t>(aTime.count(), 0), kMostMilliseconds));
+}
+
+milliseconds
+FromWire(uint64_t aTime)
+{
+  if (aTime > kMostMilliseconds) {
+    throw PeerError(kOutOfRange, "flow message", "a time of over an hour");
+  }
+  return milliseconds(aTime);
+}
+
+void
+Write(const flow::MemberRecord& aRecord, wire::FlowMember& aOut)
+{
+  aOut.set_ip(aRecord.mIp);
+  aOut.set_incarnation(aRecord.mIncarnation);
+  aOut.set_pulse(aRecord.mPulse);
+  aOut.set_domain(aRecord.mDomain);
+  aOut.set_ready(aRecord.mIsReady);
+}
+
+flow::MemberRecord
+Read(const wire::FlowMember& aIn)
+{
+  return {
+    aIn.ip(), aIn.incarnation(), aIn.pulse(), aIn.domain(), aIn.ready()
+  };
+}
+
+void
+Write(const flow::Beat& aBeat, wire::FlowMessage& aOut)
+{
+  wire::FlowBeat& out = *aOut.mutable_beat();
+  Write(aBeat.mSelf, *out.mutable_self());
+  out.set_confirmed(aBeat.mConfirmed);
+  out.set_newest(aBeat.mNewest);
+  out.set_confirmed_age_ms(ToWire(aBeat.mConfirmedAge));
+  for (const flow::MemberRecord& it : aBeat.mOthers) {
+    Write(it, *out.add_others());
+  }
+}
+
+flow::PeerMessage
+Read(const wire::FlowBeat& aIn)
+{
+  flow::Beat beat;
+  beat.mSelf = Read(aIn.self());
+  beat.mConfirmed = aIn.confirmed();
+  beat.mNewest = aIn.newest();
+  beat.mConfirmedAge = FromWire(aIn.confirmed_age_ms());
+  for (const wire::FlowMember& it : aIn.others()) {
+    beat.mOthers.push_back(Read(it));
+  }
+  return beat;
+}
+
+void
+Write(const flow::SlotReport& aReport, wire::FlowMessage& aOut)
+{
+  wire::FlowSlotReport& out = *aOut.mutable_report();
+  out.set_incarnation(aReport.mIncarnation);
+  out.set_sequence(aReport.mSequence);
+  out.set_service(aReport.mService);
+  out.set_domain(aReport.mDomain);
+  out.set_grants_seen(aReport.mGrantsSeen);
+  for (const flow::SlotCount& it : aReport.mHeld) {
+    wire::FlowSlotCount& entry = *out.add_held();
+    entry.set_upstream(it.mUpstream);
+    entry.set_count(it.mCount);
+  }
+  for (const flow::SlotRequest& it : aReport.mRequests) {
+    if (out.requests_size() == kMostEntries) {
+      break;
+    }
+    wire::FlowSlotRequest& entry = *out.add_requests();
+    entry.set_id(it.mId);
+    entry.set_waited_ms(ToWire(it.mWaited));
+    entry.set_objective_ms(ToWire(it.mObjective));
+    entry.set_priority(it.mPriority);
+    for (const flow::Cookie cookie : it.mExcluded) {
+      entry.add_excluded(cookie);
+    }
+  }
+  for (const flow::Cookie it : aReport.mSilent) {
+    out.add_silent(it);
+  }
+  for (const flow::AnswerTime& it : aReport.mAnswers) {
+    if (out.answers_size() == kMostEntries) {
+      break;
+    }
+    wire::FlowAnswerTime& entry = *out.add_answers();
+    entry.set_upstream(it.mUpstream);
+    entry.set_time_ms(ToWire(it.mTime));
+  }
+}
+
+flow::PeerMessage
+Read(const wire::FlowSlotReport& aIn)
+{
+  flow::SlotReport report;
+  report.mIncarnation = aIn.incarnation();
+  report.mSequence = aIn.sequence();
+  report.mService = aIn.service();
+  report.mDomain = aIn.domain();
+  report.mGrantsSeen = aIn.grants_seen();
+  for (const wire::FlowSlotCount& it : aIn.held()) {
+    report.mHeld.push_back({ it.upstream(), it.count() });
+  }
+  for (const wire::FlowSlotRequest& it : aIn.requests()) {
+    report.mRequests.push_back(
+      { it.id(),
+        FromWire(it.waited_ms()),
+        FromWire(it.objective_ms()),
+        it.priority(),
+        { it.excluded().begin(), it.excluded().end() } });
+  }
+  report.mSilent = { aIn.silent().begin(), aIn.silent().end() };
+  for (const wire::FlowAnswerTime& it : aIn.answers()) {
+    report.mAnswers.push_back({ it.upstream(), FromWire(it.time_ms()) });
+  }
+  return report;
+}
+
+void
+Write(const flow::SlotReply& aReply, wire::FlowMessage& aOut)
+{
+  wire::FlowSlotReply& out = *aOut.mutable_reply();
+  out.set_incarnation(aReply.mIncarnation);
+  out.set_sequence(aReply.mSequence);
+  out.set_service(aReply.mService);
+  for (const flow::SlotGrant& it : aReply.mGrants) {
+    wire::FlowSlotGrant& entry = *out.add_grants();
+    entry.set_id(it.mId);
+    entry.set_number(it.mNumber);
+    entry.set_upstream(it.mUpstream);
+  }
+  for (const uint64_t it : aReply.mRefused) {
+    out.add_refused(it);
+  }
+}
+
+flow::PeerMessage
+Read(const wire::FlowSlotReply& aIn)
+{
+  flow::SlotReply reply;
+  reply.mIncarnation = aIn.incarnation();
+  reply.mSequence = aIn.sequence();
+  reply.mService = aIn.service();
+  for (const wire::FlowSlotGrant& it : aIn.grants()) {
+    reply.mGrants.push_back({ it.id(), it.number(), it.upstream() });
+  }
+  reply.mRefused = { aIn.refused().begin(), aIn.refused().end() };
+  return reply;
+}
+
+} // namespace
+
+std::string
+EncodeFlowMessage(const flow::PeerMessage& aMessage)
+{
+  wire::FlowMessage out;
+  std::visit([&](const auto& it) { Write(it, out); }, aMessage);
+  return out.SerializeAsString();
+}
+
+flow::PeerMessage
+DecodeFlowMessage(std::string_view aBytes)
+{
+  wire::FlowMessage in;
+  if (in.ParseFromArray(aBytes.data(), static_cast<int>(aBytes.size()))) {
+    switch (in.body_case()) {
+      case wire::FlowMessage::kBeat:
+        return Read(in.beat());
+      case wire::FlowMessage::kReport:
+        return Read(in.report());
+      case wire::FlowMessage::kReply:
+        return Read(in.reply());
+      case wire::FlowMessage::BODY_NOT_SET:
+        break;
+    }
+  }
+  throw PeerError(kNoMessage, "flow message", "not a message of this protocol");
+}
+
+} // namespace foxtail::net
--- a/tests/unit/ErrorsPageTest.cpp
+++ b/tests/unit/ErrorsPageTest.cpp
@@ -42,6 +42,7 @@
                           "config/Chain.cpp",
                           "daemon/Settings.cpp",
                           "daemon/CommandLine.cpp",
+                          "net/HttpCaller.cpp",
                           "net/PlatformClient.cpp",
                           "ctl/Command.cpp",
                           "ctl/Source.cpp" }) {
