--- a/include/foxtail/flow/Fleet.h
+++ b/include/foxtail/flow/Fleet.h
@@ -21,6 +21,8 @@
   // Interval of beats. Ten a second to kFanout peers with kGossipRecords each
   // stay within 7 KB/s.
   static constexpr milliseconds kBeatPeriod{ 100 };
+  // News of members bring the next beat forward, but no closer than this.
+  static constexpr milliseconds kBeatGap{ 10 };
   // Peers that one beat goes to.
   static constexpr size_t kFanout = 8;
   // Other members named in one beat.
@@ -94,6 +96,7 @@
   std::mt19937_64 mRandom;
   std::map<VmIp, Member> mMembers;
   TimePoint mNextBeat;
+  TimePoint mLastBeat;
 };
 
 } // namespace foxtail::flow
--- a/include/foxtail/flow/FlowBalancer.h
+++ b/include/foxtail/flow/FlowBalancer.h
@@ -121,8 +121,13 @@
   // Silence of the publisher or of a peer during a read.
   static constexpr milliseconds kReadTimeout{ 1000 };
   // A starting balancer that is no seed gives its peers this long to tell it
-  // all, so that a fleet that starts doesn't read the publisher at once.
-  static constexpr milliseconds kPeersFirst{ 250 };
+  // all before it reads the publisher: one round trip to a seed, and one more.
+  static constexpr milliseconds kPeersFirst{ 40 };
+  // A starting balancer places nothing for this long, until it hears its
+  // peers: two round trips.
+  static constexpr milliseconds kSettle{ 60 };
+  // Until it knows enough to serve it looks this often.
+  static constexpr milliseconds kStartPoll{ 10 };
 
   FlowBalancer(TimePoint aNow, const FlowBalancerSettings& aSettings);
 
@@ -188,6 +193,10 @@
   void OnMessage(TimePoint aNow, VmIp aFrom, const SlotReply& aReply);
 
   void Open(TimePoint aNow, const Packet& aPacket);
+  // It knows where flows go and who brokers.
+  bool CanPlace(TimePoint aNow) const;
+  void ResolveRoute(TimePoint aNow, Opening& aOpening);
+  void RouteWaiting(TimePoint aNow);
   void OpenAgain(TimePoint aNow, Opening& aOpening);
   void Offer(TimePoint aNow, Opening& aOpening, Cookie aUpstream);
   void Refuse(TimePoint aNow, const Opening& aOpening, const char* aReason);
@@ -200,6 +209,7 @@
   Account& AccountOf(const std::string& aService);
   void RequestReport(TimePoint aNow, Account& aAccount, Duration aDelay);
   void Report(TimePoint aNow, uint32_t aService, Account& aAccount);
+  void ReportDue(TimePoint aNow);
   void Deliver(TimePoint aNow, const std::vector<SlotBroker::Reply>& aReplies);
   void CheckOpenings(TimePoint aNow);
   void CheckAccounts(TimePoint aNow);
@@ -236,6 +246,7 @@
   VmIp mAhead = 0;
   TimePoint mNextHousekeeping;
   bool mIsLeaving = false;
+  bool mHasPlaced = false;
   FlowActions mActions;
 };
 
--- a/include/foxtail/flow/Ledger.h
+++ b/include/foxtail/flow/Ledger.h
@@ -38,7 +38,7 @@
 public:
   // A flow that is silent for this long no longer counts: the caller went
   // away or its packets take another way. Three times the longest usual work.
-  static constexpr milliseconds kBusySilence{ 2000 };
+  static constexpr milliseconds kBusySilence{ 500 };
   // Idle flows are forgotten sooner than callers close them; the next request
   // makes them known again.
   static constexpr seconds kIdleSilence{ 10 };
--- a/include/foxtail/flow/SlotBroker.h
+++ b/include/foxtail/flow/SlotBroker.h
@@ -23,7 +23,7 @@
 public:
   // Flows for each slot: a slot is idle for two round trips between callers,
   // upstreams and balancers while one flow ends and the next one opens.
-  static constexpr double kFlowsPerSlot = 1.34;
+  static constexpr double kFlowsPerSlot = 2.0;
   // A balancer that doesn't report for this long holds nothing any more.
   static constexpr milliseconds kReportLife{ 1000 };
   // A flow that waited this long is refused: callers give up on an opening
--- a/src/flow/Fleet.cpp
+++ b/src/flow/Fleet.cpp
@@ -45,6 +45,8 @@
   const bool isNew = it == mMembers.end() ||
                      it->second.mRecord.mIncarnation < aRecord.mIncarnation;
   if (isNew) {
+    // Both should know of each other at once, not only with the next beat.
+    mNextBeat = std::min(mNextBeat, mLastBeat + kBeatGap);
     mMembers[aRecord.mIp] = { aRecord, aNow, true, {}, kSuspicion };
     return true;
   }
@@ -114,6 +116,7 @@
     return std::nullopt;
   }
   mNextBeat = aNow + kBeatPeriod;
+  mLastBeat = aNow;
   ++mSelf.mPulse;
   Round round;
   round.mTargets = PickTargets();
--- a/src/flow/FlowBalancer.cpp
+++ b/src/flow/FlowBalancer.cpp
@@ -49,6 +49,17 @@
   return "";
 }
 
+// Callers send copies of an opening packet and count them in a field that has
+// no other use there; so long ago the first one was sent.
+Duration
+AgeOfCopy(const Packet& aPacket)
+{
+  constexpr milliseconds kCopyTimes[] = { milliseconds(0),
+                                          milliseconds(200),
+                                          milliseconds(600) };
+  return kCopyTimes[std::min(aPacket.mAcknowledgement, 2U)];
+}
+
 std::string
 FlowText(const FlowKey& aKey)
 {
@@ -75,6 +86,7 @@
   if (!isSeed) {
     mNextRead = aNow + kPeersFirst;
   }
+  mFleet.SetReady(false);
 }
 
 FlowActions
@@ -101,6 +113,7 @@
     // An upstream's answer has no business here.
     if (!aPacket.mAcknowledges) {
       Open(aNow, aPacket);
+      ReportDue(aNow);
     }
     return TakeActions();
   }
@@ -163,41 +176,74 @@
 FlowBalancer::Open(TimePoint aNow, const Packet& aPacket)
 {
   ++mCounters.mOpenings;
+  RouteWaiting(aNow);
   const auto known = mOpeningByKey.find(aPacket.mKey);
   if (known != mOpeningByKey.end()) {
     OpenAgain(aNow, mOpenings.at(known->second));
     return;
   }
-  const Route* route = mDirectory.FindRoute(aPacket.mKey.mService);
+  Opening opening;
+  opening.mId = ++mLastOpening;
+  opening.mKey = aPacket.mKey;
+  opening.mBytes = std::string(aPacket.mBytes);
+  opening.mSequence = aPacket.mSequence;
+  opening.mArrived = aNow - AgeOfCopy(aPacket);
+  mOpeningByKey[opening.mKey] = opening.mId;
+  Opening& entry = mOpenings[opening.mId] = std::move(opening);
+  // Until it knows where flows go, a starting balancer keeps them waiting.
+  if (CanPlace(aNow)) {
+    ResolveRoute(aNow, entry);
+  }
+}
+
+bool
+FlowBalancer::CanPlace(TimePoint aNow) const
+{
+  return mDirectory.IsUsable() && aNow - mStarted >= kSettle;
+}
+
+void
+FlowBalancer::ResolveRoute(TimePoint aNow, Opening& aOpening)
+{
+  const Route* route = mDirectory.FindRoute(aOpening.mKey.mService);
   const std::string service =
-    route != nullptr ? PickService(*route, aPacket.mKey) : "";
+    route != nullptr ? PickService(*route, aOpening.mKey) : "";
   if (service.empty()) {
     ++mCounters.mRefusedNoRoute;
     const auto& configuration = mDirectory.CurrentConfiguration();
     Log(5102,
-        absl::StrCat(FlowText(aPacket.mKey),
+        absl::StrCat(FlowText(aOpening.mKey),
                      " seq=",
-                     aPacket.mSequence,
+                     aOpening.mSequence,
                      " reason=no-route version=",
                      configuration ? configuration->mVersion : 0,
                      " age_ms=",
                      ToMilliseconds(aNow - mDirectory.ConfirmedAt()).count()));
-    mActions.push_back(ResetFlow{ aPacket.mKey });
+    mActions.push_back(ResetFlow{ aOpening.mKey });
+    Close(aOpening.mId);
     return;
   }
-  Opening opening;
-  opening.mId = ++mLastOpening;
-  opening.mKey = aPacket.mKey;
-  opening.mBytes = std::string(aPacket.mBytes);
-  opening.mSequence = aPacket.mSequence;
-  opening.mService = ServiceId(service);
-  opening.mArrived = aNow;
-  opening.mObjective = route->mObjective;
-  opening.mPriority = route->mPriority;
-  mOpeningByKey[opening.mKey] = opening.mId;
-  mOpenings[opening.mId] = std::move(opening);
-  Account& account = AccountOf(service);
-  Report(aNow, ServiceId(service), account);
+  aOpening.mService = ServiceId(service);
+  aOpening.mObjective = route->mObjective;
+  aOpening.mPriority = route->mPriority;
+  RequestReport(aNow, AccountOf(service), Duration(0));
+}
+
+void
+FlowBalancer::RouteWaiting(TimePoint aNow)
+{
+  if (mHasPlaced || !CanPlace(aNow)) {
+    return;
+  }
+  mHasPlaced = true;
+  std::vector<uint64_t> ids;
+  for (const auto& [id, opening] : mOpenings) {
+    ids.push_back(id);
+  }
+  for (const uint64_t it : ids) {
+    ResolveRoute(aNow, mOpenings.at(it));
+  }
+  ReportDue(aNow);
 }
 
 void
@@ -500,7 +546,16 @@
         mFleet.Suspect(aNow, account.mBroker);
       }
       Report(aNow, service, account);
-    } else if (account.mDue && *account.mDue <= aNow) {
+    }
+  }
+  ReportDue(aNow);
+}
+
+void
+FlowBalancer::ReportDue(TimePoint aNow)
+{
+  for (auto& [service, account] : mAccounts) {
+    if (account.mDue && *account.mDue <= aNow) {
       Report(aNow, service, account);
     }
   }
@@ -509,6 +564,7 @@
 FlowActions
 FlowBalancer::OnTimer(TimePoint aNow)
 {
+  RouteWaiting(aNow);
   CheckOpenings(aNow);
   CheckAccounts(aNow);
   if (aNow >= mNextHousekeeping) {
@@ -538,6 +594,9 @@
 FlowBalancer::NextDue(TimePoint aNow) const
 {
   TimePoint due = std::min(mFleet.NextDue(), mNextHousekeeping);
+  if (!CanPlace(aNow)) {
+    due = std::min(due, std::max(mNextRead, aNow + kStartPoll));
+  }
   const Duration limit = HandshakeLimit();
   for (const auto& [id, opening] : mOpenings) {
     const bool isOffered = opening.mUpstream != 0 && opening.mOffers < kOffers;
