--- a/include/foxtail/flow/FlowBalancer.h
+++ b/include/foxtail/flow/FlowBalancer.h
@@ -99,6 +99,8 @@
   static constexpr milliseconds kReportRetry{ 12 };
   // Reports without an answer until the broker is taken for dead.
   static constexpr uint32_t kReportTries = 2;
+  // While flows wait for slots anyway, new ones are asked for together.
+  static constexpr milliseconds kQueueDelay{ 8 };
   // A released slot is reported with the next request or after this time.
   static constexpr milliseconds kReleaseDelay{ 6 };
   // A balancer that holds slots or waits for some reports this often.
@@ -169,6 +171,8 @@
     Cookie mUpstream = 0;
     TimePoint mOfferedAt;
     uint32_t mOffers = 0;
+    // The broker has been asked for a slot since the last whole report.
+    bool mIsAsked = false;
     std::vector<Cookie> mExcluded;
   };
   // This balancer's side of the brokering of one service.
@@ -177,11 +181,17 @@
     std::string mName;
     VmIp mBroker = 0;
     uint64_t mSequence = 0;
-    uint64_t mAnswered = 0;
     uint64_t mGrantsSeen = 0;
     uint32_t mTries = 0;
-    TimePoint mSentAt;
-    bool mAwaitsReply = false;
+    TimePoint mNextWhole;
+    // The newest report that asked for a slot, and since when a report that
+    // asked is unanswered.
+    uint64_t mLastAsked = 0;
+    std::optional<TimePoint> mAwaitsSince;
+    // The next report names all flows that wait.
+    bool mMustTellAll = true;
+    // Flows wait although the broker has answered: it has no free slot.
+    bool mIsQueueing = false;
     // When something is to be reported; empty for nothing.
     std::optional<TimePoint> mDue;
     std::vector<Cookie> mSilent;
--- a/include/foxtail/flow/PeerMessages.h
+++ b/include/foxtail/flow/PeerMessages.h
@@ -50,6 +50,8 @@
   // Latency up to which its answer has its full worth.
   milliseconds mObjective{ 0 };
   uint32_t mPriority = 0;
+  // The caller's address: another try of one that was refused is known by it.
+  uint32_t mCallerIp = 0;
   // Upstreams that did not answer its opening packet.
   std::vector<Cookie> mExcluded;
 };
@@ -62,7 +64,8 @@
 };
 
 // From a balancer to the broker of a service: everything it holds there, and
-// the flows that wait for a slot. A later report replaces an earlier one.
+// flows that want a slot. What a later report says is held replaces what an
+// earlier one said.
 struct SlotReport
 {
   uint64_t mIncarnation = 0;
@@ -73,6 +76,8 @@
   // Grants up to this number are counted in mHeld.
   uint64_t mGrantsSeen = 0;
   std::vector<SlotCount> mHeld;
+  // mRequests has every flow that waits, not only the new ones.
+  bool mIsWhole = false;
   std::vector<SlotRequest> mRequests;
   // Upstreams that leave the balancer's opening packets unanswered.
   std::vector<Cookie> mSilent;
--- a/include/foxtail/flow/SlotBroker.h
+++ b/include/foxtail/flow/SlotBroker.h
@@ -35,6 +35,9 @@
   static constexpr milliseconds kLongestSilence{ 2000 };
   // Share of one more answer time in the mean of an upstream.
   static constexpr double kAnswerShare = 0.15;
+  // A caller that was refused tries again at once; its next new flow within
+  // this time counts as the same request. A few round trips to a caller.
+  static constexpr milliseconds kNextTry{ 60 };
 
   explicit SlotBroker(uint64_t aSeed);
 
@@ -67,7 +70,16 @@
   {
     VmIp mFrom = 0;
     SlotRequest mRequest;
+    // When this flow came, and when the caller's first try of it came.
     TimePoint mArrived;
+    TimePoint mFirst;
+    bool mIsLate = false;
+  };
+  // A flow that was refused.
+  struct Refusal
+  {
+    TimePoint mAt;
+    TimePoint mFirst;
   };
   // What one balancer said of one service.
   struct Reporter
@@ -76,6 +88,8 @@
     uint64_t mSequence = 0;
     TimePoint mHeard;
     std::string mDomain;
+    // Stable hash of the domain.
+    uint32_t mDomainId = 0;
     std::vector<SlotCount> mHeld;
     std::vector<PendingGrant> mPending;
     uint64_t mLastGrant = 0;
@@ -93,7 +107,9 @@
     std::string mName;
     std::map<VmIp, Reporter> mReporters;
     std::vector<Waiter> mQueue;
-    std::map<std::pair<std::string, Cookie>, Silence> mSilences;
+    // By failure domain of the balancers and upstream.
+    std::unordered_map<uint64_t, Silence> mSilences;
+    std::unordered_multimap<uint32_t, Refusal> mRefusals;
     std::unordered_map<Cookie, double> mAnswerMs;
     double mMeanAnswerMs = 0;
   };
@@ -115,10 +131,15 @@
                                     const Pool& aPool,
                                     const Directory& aDirectory) const;
   void Schedule(TimePoint aNow, Pool& aPool, const Directory& aDirectory);
+  // Refuses what waits too long or for nothing.
+  void RefuseHopeless(TimePoint aNow, Pool& aPool, bool aHasUpstreams);
+  // Moves the aCount waiters that come first to the front of the queue.
+  static void Rank(TimePoint aNow, Pool& aPool, size_t aCount);
   Candidate* Choose(TimePoint aNow,
                     Pool& aPool,
                     std::vector<Candidate>& aCandidates,
                     const Waiter& aWaiter);
+  TimePoint FirstTry(TimePoint aNow, Pool& aPool, const Waiter& aWaiter);
   void GrantTo(TimePoint aNow,
                Pool& aPool,
                const Waiter& aWaiter,
--- a/src/flow/FlowBalancer.cpp
+++ b/src/flow/FlowBalancer.cpp
@@ -226,7 +226,9 @@
   aOpening.mService = ServiceId(service);
   aOpening.mObjective = route->mObjective;
   aOpening.mPriority = route->mPriority;
-  RequestReport(aNow, AccountOf(service), Duration(0));
+  Account& account = AccountOf(service);
+  RequestReport(
+    aNow, account, account.mIsQueueing ? Duration(kQueueDelay) : Duration(0));
 }
 
 void
@@ -344,6 +346,7 @@
 FlowBalancer::Report(TimePoint aNow, uint32_t aService, Account& aAccount)
 {
   const VmIp broker = mFleet.BrokerOf(aNow, aService);
+  aAccount.mMustTellAll |= aNow >= aAccount.mNextWhole;
   if (broker != aAccount.mBroker) {
     Log(4101,
         absl::StrCat("service=",
@@ -354,6 +357,7 @@
                      mFleet.AliveCount(aNow)));
     aAccount.mBroker = broker;
     aAccount.mTries = 0;
+    aAccount.mMustTellAll = true;
   }
   SlotReport report;
   report.mIncarnation = mFleet.Self().mIncarnation;
@@ -367,12 +371,21 @@
       report.mHeld.push_back({ it, held });
     }
   }
-  for (const auto& [id, opening] : mOpenings) {
-    if (opening.mService == aService && opening.mUpstream == 0) {
+  // A reply that is overdue or a period that passed: say everything again.
+  report.mIsWhole = aAccount.mMustTellAll;
+  bool waits = false;
+  for (auto& [id, opening] : mOpenings) {
+    if (opening.mService != aService || opening.mUpstream != 0) {
+      continue;
+    }
+    waits = true;
+    if (report.mIsWhole || !opening.mIsAsked) {
+      opening.mIsAsked = true;
       report.mRequests.push_back({ id,
                                    ToMilliseconds(aNow - opening.mArrived),
                                    opening.mObjective,
                                    opening.mPriority,
+                                   opening.mKey.mCaller.mIp,
                                    opening.mExcluded });
     }
   }
@@ -380,13 +393,21 @@
   report.mAnswers = std::move(aAccount.mAnswers);
   aAccount.mSilent.clear();
   aAccount.mAnswers.clear();
-  aAccount.mSentAt = aNow;
-  aAccount.mAwaitsReply = !report.mRequests.empty();
+  if (!report.mRequests.empty()) {
+    aAccount.mLastAsked = report.mSequence;
+    if (!aAccount.mAwaitsSince) {
+      aAccount.mAwaitsSince = aNow;
+    }
+  }
+  aAccount.mMustTellAll = false;
   aAccount.mDue.reset();
-  const bool isActive = aAccount.mAwaitsReply || !report.mHeld.empty();
+  const bool isActive = waits || !report.mHeld.empty();
   if (isActive) {
     aAccount.mDue = aNow + kReportPeriod;
   }
+  if (report.mIsWhole) {
+    aAccount.mNextWhole = aNow + kReportPeriod;
+  }
   if (broker == mFleet.Self().mIp) {
     Deliver(aNow,
             mBroker.Take(aNow, broker, report, aAccount.mName, mDirectory));
@@ -449,10 +470,11 @@
     return;
   }
   Account& account = it->second;
-  if (aReply.mSequence >= account.mSequence) {
-    account.mAwaitsReply = false;
-    account.mTries = 0;
-    mFleet.Trust(aFrom);
+  account.mTries = 0;
+  mFleet.Trust(aFrom);
+  account.mAwaitsSince.reset();
+  if (aReply.mSequence < account.mLastAsked) {
+    account.mAwaitsSince = aNow;
   }
   for (const SlotGrant& grant : aReply.mGrants) {
     account.mGrantsSeen = std::max(account.mGrantsSeen, grant.mNumber);
@@ -475,6 +497,11 @@
       Close(id);
     }
   }
+  account.mIsQueueing =
+    std::any_of(mOpenings.begin(), mOpenings.end(), [&](const auto& opening) {
+      return opening.second.mService == aReply.mService &&
+             opening.second.mUpstream == 0;
+    });
 }
 
 // Time.
@@ -515,6 +542,7 @@
     mAccounts[opening.mService].mSilent.push_back(opening.mUpstream);
     opening.mExcluded.push_back(opening.mUpstream);
     opening.mUpstream = 0;
+    opening.mIsAsked = false;
     mLedger.Withdraw(opening.mKey);
     waiting[opening.mService] = true;
   }
@@ -532,9 +560,11 @@
 {
   for (auto& [service, account] : mAccounts) {
     const bool isLate =
-      account.mAwaitsReply && aNow - account.mSentAt >= kReportRetry;
+      account.mAwaitsSince && aNow - *account.mAwaitsSince >= kReportRetry;
     if (isLate) {
+      account.mAwaitsSince.reset();
       ++mCounters.mBrokerTimeouts;
+      account.mMustTellAll = true;
       if (++account.mTries >= kReportTries) {
         Log(4103,
             absl::StrCat("service=",
@@ -608,8 +638,8 @@
     if (account.mDue) {
       due = std::min(due, *account.mDue);
     }
-    if (account.mAwaitsReply) {
-      due = std::min(due, account.mSentAt + kReportRetry);
+    if (account.mAwaitsSince) {
+      due = std::min(due, *account.mAwaitsSince + kReportRetry);
     }
   }
   return due;
--- a/src/flow/SlotBroker.cpp
+++ b/src/flow/SlotBroker.cpp
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
+
+#include "foxtail/core/Hash.h"
 
 namespace foxtail::flow {
 
@@ -30,6 +33,12 @@
   return aNow + work <= aArrived + aObjective;
 }
 
+uint64_t
+SilenceKey(uint32_t aDomainId, Cookie aUpstream)
+{
+  return (static_cast<uint64_t>(aDomainId) << 32U) | aUpstream;
+}
+
 } // namespace
 
 SlotBroker::SlotBroker(uint64_t aSeed)
@@ -60,6 +69,7 @@
   reporter.mSequence = aReport.mSequence;
   reporter.mHeard = aNow;
   reporter.mDomain = aReport.mDomain;
+  reporter.mDomainId = static_cast<uint32_t>(StableHash(aReport.mDomain));
   reporter.mHeld = aReport.mHeld;
   reporter.mLastGrant = std::max(reporter.mLastGrant, aReport.mGrantsSeen);
   auto& pending = reporter.mPending;
@@ -80,8 +90,9 @@
 void
 SlotBroker::Learn(TimePoint aNow, Pool& aPool, const SlotReport& aReport)
 {
+  const auto domain = static_cast<uint32_t>(StableHash(aReport.mDomain));
   for (const AnswerTime& it : aReport.mAnswers) {
-    aPool.mSilences.erase({ aReport.mDomain, it.mUpstream });
+    aPool.mSilences.erase(SilenceKey(domain, it.mUpstream));
     const auto time = static_cast<double>(it.mTime.count());
     double& service = aPool.mMeanAnswerMs;
     service = service == 0 ? time : service + (time - service) * 0.02;
@@ -91,7 +102,7 @@
     entry->second += (counted - entry->second) * kAnswerShare;
   }
   for (const Cookie it : aReport.mSilent) {
-    Silence& silence = aPool.mSilences[{ aReport.mDomain, it }];
+    Silence& silence = aPool.mSilences[SilenceKey(domain, it)];
     const Duration time = std::min<Duration>(
       Duration(kFirstSilence) * (1U << std::min(silence.mMisses, 5U)),
       kLongestSilence);
@@ -107,21 +118,61 @@
                     const SlotReport& aReport)
 {
   auto& queue = aPool.mQueue;
-  queue.erase(
-    std::remove_if(queue.begin(),
-                   queue.end(),
-                   [&](const Waiter& it) { return it.mFrom == aFrom; }),
-    queue.end());
+  const auto isAsked = [&](const Waiter& waiter) {
+    return std::any_of(
+      aReport.mRequests.begin(),
+      aReport.mRequests.end(),
+      [&](const SlotRequest& it) { return it.mId == waiter.mRequest.mId; });
+  };
+  // A whole report ends what it doesn't name; what is asked for again may say
+  // more than before.
+  std::unordered_map<uint64_t, TimePoint> first;
+  queue.erase(std::remove_if(queue.begin(),
+                             queue.end(),
+                             [&](const Waiter& it) {
+                               if (it.mFrom != aFrom) {
+                                 return false;
+                               }
+                               const bool asked = isAsked(it);
+                               if (asked) {
+                                 first[it.mRequest.mId] = it.mFirst;
+                               }
+                               return asked || aReport.mIsWhole;
+                             }),
+              queue.end());
   const auto& pending = aPool.mReporters[aFrom].mPending;
   for (const SlotRequest& it : aReport.mRequests) {
     const bool isGranted = std::any_of(
       pending.begin(), pending.end(), [&](const PendingGrant& grant) {
         return grant.mGrant.mId == it.mId;
       });
-    if (!isGranted) {
-      queue.push_back({ aFrom, it, aNow - it.mWaited });
+    if (isGranted) {
+      continue;
+    }
+    Waiter waiter;
+    waiter.mFrom = aFrom;
+    waiter.mRequest = it;
+    waiter.mArrived = aNow - it.mWaited;
+    const auto known = first.find(it.mId);
+    waiter.mFirst =
+      known != first.end() ? known->second : FirstTry(aNow, aPool, waiter);
+    queue.push_back(std::move(waiter));
+  }
+}
+
+TimePoint
+SlotBroker::FirstTry(TimePoint aNow, Pool& aPool, const Waiter& aWaiter)
+{
+  const auto [begin, end] =
+    aPool.mRefusals.equal_range(aWaiter.mRequest.mCallerIp);
+  for (auto it = begin; it != end; ++it) {
+    if (aNow - it->second.mAt < kNextTry) {
+      const TimePoint firstTry = it->second.mFirst;
+      aPool.mRefusals.erase(it);
+      return firstTry;
     }
   }
+  return aWaiter.mArrived;
 }
 
 std::vector<SlotBroker::Candidate>
@@ -169,41 +220,77 @@
 void
 SlotBroker::Schedule(TimePoint aNow, Pool& aPool, const Directory& aDirectory)
 {
-  if (aPool.mQueue.empty()) {
+  auto& queue = aPool.mQueue;
+  if (queue.empty()) {
     return;
   }
   std::vector<Candidate> candidates = Candidates(aNow, aPool, aDirectory);
-  auto& queue = aPool.mQueue;
-  const double work = aPool.mMeanAnswerMs;
-  // Those that can be in time first, the urgent and the old before others.
-  const auto rank = [&](const Waiter& it) {
-    const bool late =
-      !CanBeInTime(aNow, it.mArrived, it.mRequest.mObjective, work);
-    return std::make_tuple(late, it.mRequest.mPriority, it.mArrived);
-  };
-  std::stable_sort(
-    queue.begin(), queue.end(), [&](const Waiter& a, const Waiter& b) {
-      return rank(a) < rank(b);
-    });
-  std::vector<Waiter> left;
-  for (const Waiter& it : queue) {
-    Candidate* chosen = Choose(aNow, aPool, candidates, it);
+  double free = 0;
+  for (const Candidate& it : candidates) {
+    free += std::max(0.0, it.mLimit - it.mLoad);
+  }
+  const size_t count = std::min(queue.size(), static_cast<size_t>(free));
+  Rank(aNow, aPool, count);
+  size_t kept = 0;
+  for (size_t i = 0; i < queue.size(); ++i) {
+    Candidate* chosen =
+      i < count ? Choose(aNow, aPool, candidates, queue[i]) : nullptr;
     if (chosen != nullptr) {
       ++chosen->mLoad;
-      GrantTo(aNow, aPool, it, chosen->mUpstream);
-      continue;
+      GrantTo(aNow, aPool, queue[i], chosen->mUpstream);
+    } else if (kept++ != i) {
+      queue[kept - 1] = std::move(queue[i]);
     }
-    const bool isHopeless =
-      candidates.empty() || aNow - it.mArrived >= kLongestWait;
-    if (isHopeless) {
-      Reporter& reporter = aPool.mReporters[it.mFrom];
-      reporter.mRefused.push_back(it.mRequest.mId);
-      reporter.mReplyDue = true;
-      continue;
-    }
-    left.push_back(it);
   }
-  queue = std::move(left);
+  queue.resize(kept);
+  if (candidates.empty()) {
+    RefuseHopeless(aNow, aPool, false);
+  }
+}
+
+void
+SlotBroker::Rank(TimePoint aNow, Pool& aPool, size_t aCount)
+{
+  auto& queue = aPool.mQueue;
+  for (Waiter& it : queue) {
+    it.mIsLate = !CanBeInTime(
+      aNow, it.mFirst, it.mRequest.mObjective, aPool.mMeanAnswerMs);
+  }
+  // Those that can be in time first, the urgent and the old before others.
+  std::partial_sort(
+    queue.begin(),
+    queue.begin() + static_cast<ptrdiff_t>(aCount),
+    queue.end(),
+    [](const Waiter& a, const Waiter& b) {
+      return std::tie(a.mIsLate, a.mRequest.mPriority, a.mFirst) <
+             std::tie(b.mIsLate, b.mRequest.mPriority, b.mFirst);
+    });
+}
+
+void
+SlotBroker::RefuseHopeless(TimePoint aNow, Pool& aPool, bool aHasUpstreams)
+{
+  for (auto it = aPool.mRefusals.begin(); it != aPool.mRefusals.end();) {
+    const bool isOld = aNow - it->second.mAt >= kNextTry;
+    it = isOld ? aPool.mRefusals.erase(it) : std::next(it);
+  }
+  auto& queue = aPool.mQueue;
+  queue.erase(
+    std::remove_if(queue.begin(),
+                   queue.end(),
+                   [&](const Waiter& it) {
+                     const bool isHopeless =
+                       !aHasUpstreams || aNow - it.mArrived >= kLongestWait;
+                     if (isHopeless) {
+                       Reporter& reporter = aPool.mReporters[it.mFrom];
+                       reporter.mRefused.push_back(it.mRequest.mId);
+                       reporter.mReplyDue = true;
+                       aPool.mRefusals.emplace(it.mRequest.mCallerIp,
+                                               Refusal{ aNow, it.mFirst });
+                     }
+                     return isHopeless;
+                   }),
+    queue.end());
 }
 
 SlotBroker::Candidate*
@@ -212,14 +299,16 @@
                    std::vector<Candidate>& aCandidates,
                    const Waiter& aWaiter)
 {
-  const std::string& domain = aPool.mReporters[aWaiter.mFrom].mDomain;
+  const Reporter& reporter = aPool.mReporters[aWaiter.mFrom];
+  const std::string& domain = reporter.mDomain;
   const auto& excluded = aWaiter.mRequest.mExcluded;
   Candidate* best = nullptr;
   double bestScore = 0;
   bool bestIsSilent = true;
   std::uniform_real_distribution<double> tie(0, 0.01);
   for (Candidate& it : aCandidates) {
-    const auto silence = aPool.mSilences.find({ domain, it.mUpstream });
+    const auto silence =
+      aPool.mSilences.find(SilenceKey(reporter.mDomainId, it.mUpstream));
     const bool wasSilent = silence != aPool.mSilences.end();
     const bool isExcluded =
       std::find(excluded.begin(), excluded.end(), it.mUpstream) !=
@@ -244,7 +333,8 @@
   // While others are merely busy, waiting beats an upstream that is silent.
   const bool othersAnswer = std::any_of(
     aCandidates.begin(), aCandidates.end(), [&](const Candidate& it) {
-      return aPool.mSilences.count({ domain, it.mUpstream }) == 0;
+      return aPool.mSilences.count(
+               SilenceKey(reporter.mDomainId, it.mUpstream)) == 0;
     });
   if (best != nullptr && bestIsSilent && othersAnswer) {
     return nullptr;
@@ -310,6 +400,7 @@
         queue.end());
       it = pool.mReporters.erase(it);
     }
+    RefuseHopeless(aNow, pool, true);
     Schedule(aNow, pool, aDirectory);
     std::vector<Reply> more = Replies(service, pool);
     replies.insert(replies.end(), more.begin(), more.end());
--- a/src/net/FlowCodec.cpp
+++ b/src/net/FlowCodec.cpp
@@ -85,6 +85,7 @@
   out.set_service(aReport.mService);
   out.set_domain(aReport.mDomain);
   out.set_grants_seen(aReport.mGrantsSeen);
+  out.set_whole(aReport.mIsWhole);
   for (const flow::SlotCount& it : aReport.mHeld) {
     wire::FlowSlotCount& entry = *out.add_held();
     entry.set_upstream(it.mUpstream);
@@ -99,6 +100,7 @@
     entry.set_waited_ms(ToWire(it.mWaited));
     entry.set_objective_ms(ToWire(it.mObjective));
     entry.set_priority(it.mPriority);
+    entry.set_caller_ip(it.mCallerIp);
     for (const flow::Cookie cookie : it.mExcluded) {
       entry.add_excluded(cookie);
     }
@@ -125,6 +127,7 @@
   report.mService = aIn.service();
   report.mDomain = aIn.domain();
   report.mGrantsSeen = aIn.grants_seen();
+  report.mIsWhole = aIn.whole();
   for (const wire::FlowSlotCount& it : aIn.held()) {
     report.mHeld.push_back({ it.upstream(), it.count() });
   }
@@ -134,6 +137,7 @@
         FromWire(it.waited_ms()),
         FromWire(it.objective_ms()),
         it.priority(),
+        it.caller_ip(),
         { it.excluded().begin(), it.excluded().end() } });
   }
   report.mSilent = { aIn.silent().begin(), aIn.silent().end() };
