--- a/include/foxtail/flow/Fleet.h
+++ b/include/foxtail/flow/Fleet.h
@@ -42,7 +42,13 @@
   Fleet(MemberRecord aSelf, std::vector<VmIp> aSeeds, uint64_t aSeed);
 
   const MemberRecord& Self() const { return mSelf; }
-  void SetReady(bool aIsReady) { mSelf.mIsReady = aIsReady; }
+  // A change is told to all peers with the next beat, which is due at once.
+  void SetReady(TimePoint aNow, bool aIsReady);
+  // When the members that may broker changed last.
+  TimePoint ChangedAt() const { return mChangedAt; }
+  // When the balancers of this failure domain changed last: the fabric then
+  // sends flows another way than before.
+  TimePoint DomainChangedAt() const { return mDomainChangedAt; }
 
   // A beat came from this address. Returns what changed, to be logged.
   std::vector<Event> Hear(TimePoint aNow, VmIp aFrom, const Beat& aBeat);
@@ -74,6 +80,8 @@
 
   bool IsAlive(TimePoint aNow, VmIp aMember) const;
   size_t AliveCount(TimePoint aNow) const;
+  // Members that broker and report to brokers, this one included.
+  size_t ReadyCount(TimePoint aNow) const;
   // No live peer of this failure domain is heard, though some were before.
   bool IsDomainSilent(TimePoint aNow, const std::string& aDomain) const;
 
@@ -88,6 +96,7 @@
   };
 
   bool Merge(TimePoint aNow, const MemberRecord& aRecord);
+  void NoteChange(TimePoint aNow, const MemberRecord& aRecord);
   bool IsHeard(TimePoint aNow, const Member& aMember) const;
   std::vector<VmIp> PickTargets();
 
@@ -97,6 +106,8 @@
   std::map<VmIp, Member> mMembers;
   TimePoint mNextBeat;
   TimePoint mLastBeat;
+  TimePoint mChangedAt;
+  TimePoint mDomainChangedAt;
 };
 
 } // namespace foxtail::flow
--- a/include/foxtail/flow/FlowBalancer.h
+++ b/include/foxtail/flow/FlowBalancer.h
@@ -109,6 +109,11 @@
   // confirm it; the usual time is learned.
   static constexpr milliseconds kLeastHandshake{ 25 };
   static constexpr milliseconds kMostHandshake{ 180 };
+  // After balancers of this failure domain came or went, the fabric needs two
+  // readiness checks of half a second until flows keep their way again. The
+  // caller's answer to an upstream may pass elsewhere, so its absence here
+  // means less.
+  static constexpr milliseconds kRotationSettles{ 1500 };
   // Upstreams that one opening packet is offered to at most.
   static constexpr uint32_t kOffers = 4;
   // Callers give up on an opening packet after this time.
@@ -128,6 +133,8 @@
   // A starting balancer places nothing for this long, until it hears its
   // peers: two round trips.
   static constexpr milliseconds kSettle{ 60 };
+  // For so long after a change of members a broker may be a new one.
+  static constexpr milliseconds kNewView{ 500 };
   // Until it knows enough to serve it looks this often.
   static constexpr milliseconds kStartPoll{ 10 };
 
@@ -223,9 +230,16 @@
   void Deliver(TimePoint aNow, const std::vector<SlotBroker::Reply>& aReplies);
   void CheckOpenings(TimePoint aNow);
   void CheckAccounts(TimePoint aNow);
+  // Tells new brokers what is held here.
+  void CheckBrokers(TimePoint aNow);
+  // How many balancers report to a broker that took over just now; zero when
+  // the members have been the same for a while.
+  size_t ExpectedReports(TimePoint aNow) const;
+  // No other balancer is heard although there are seeds.
+  bool IsAlone(TimePoint aNow) const;
   void CheckReads(TimePoint aNow);
   Duration ReadPatience(TimePoint aNow) const;
-  Duration HandshakeLimit() const;
+  Duration HandshakeLimit(TimePoint aNow) const;
 
   void Log(int aEvent, std::string aDetail);
   FlowActions TakeActions();
@@ -248,6 +262,13 @@
   Duration mHandshake = milliseconds(10);
   Duration mHandshakeDeviation = milliseconds(4);
 
+  // The change of members that CheckBrokers saw last.
+  TimePoint mSeenChange;
+  // How late the timer ran of late: a process without processor time must not
+  // take its own delay for an upstream's silence.
+  Duration mLag{ 0 };
+  TimePoint mExpected;
+
   TimePoint mStarted;
   bool mIsReading = false;
   TimePoint mReadStarted;
--- a/include/foxtail/flow/Ledger.h
+++ b/include/foxtail/flow/Ledger.h
@@ -36,9 +36,13 @@
 class Ledger
 {
 public:
-  // A flow that is silent for this long no longer counts: the caller went
-  // away or its packets take another way. Three times the longest usual work.
-  static constexpr milliseconds kBusySilence{ 500 };
+  // A busy flow that is silent for this many usual answer times no longer
+  // counts: the caller went away, or the fabric sends its packets to another
+  // balancer, which counts it then. Nineteen of twenty answers come sooner.
+  static constexpr int kBusyAnswers = 3;
+  // Bounds of the time that this gives.
+  static constexpr milliseconds kLeastBusy{ 180 };
+  static constexpr milliseconds kMostBusy{ 2000 };
   // Idle flows are forgotten sooner than callers close them; the next request
   // makes them known again.
   static constexpr seconds kIdleSilence{ 10 };
@@ -57,6 +61,8 @@
   uint32_t Held(Cookie aUpstream) const;
   std::vector<SlotCount> AllHeld() const;
   size_t Flows() const { return mFlows.size(); }
+  // Silence after which a busy flow is forgotten.
+  Duration BusySilence() const;
 
 private:
   enum class Phase
@@ -89,6 +95,7 @@
 
   FlowMap mFlows;
   std::unordered_map<Cookie, uint32_t> mHeld;
+  Duration mAnswer = milliseconds(100);
 };
 
 } // namespace foxtail::flow
--- a/include/foxtail/flow/SlotBroker.h
+++ b/include/foxtail/flow/SlotBroker.h
@@ -23,9 +23,15 @@
 public:
   // Flows for each slot: a slot is idle for two round trips between callers,
   // upstreams and balancers while one flow ends and the next one opens.
-  static constexpr double kFlowsPerSlot = 2.0;
+  static constexpr double kFlowsPerSlot = 2.5;
+  // Flows for each upstream while no other balancer is heard: there may be
+  // many that are just as alone.
+  static constexpr double kFlowsAlone = 1.0;
   // A balancer that doesn't report for this long holds nothing any more.
   static constexpr milliseconds kReportLife{ 1000 };
+  // A new broker waits this long for the reports of all: one way of their
+  // beats and one of the reports, and some processor time.
+  static constexpr milliseconds kTakeover{ 60 };
   // A flow that waited this long is refused: callers give up on an opening
   // packet after 1.4 s, and a refusal in time lets them try again.
   static constexpr milliseconds kLongestWait{ 1000 };
@@ -47,16 +53,22 @@
     SlotReply mReply;
   };
 
-  // A balancer reports; aDirectory has the upstreams.
+  // A balancer reports; aDirectory has the upstreams. aExpected balancers
+  // report in all; a broker that took over just now waits for them, since it
+  // would take slots that it has not heard of for free.
   std::vector<Reply> Take(TimePoint aNow,
                           VmIp aFrom,
                           const SlotReport& aReport,
                           const std::string& aService,
-                          const Directory& aDirectory);
+                          const Directory& aDirectory,
+                          size_t aExpected);
 
   // Refuses what waited too long, forgets silent balancers.
   std::vector<Reply> Tick(TimePoint aNow, const Directory& aDirectory);
 
+  // No other balancer is heard.
+  void SetAlone(bool aIsAlone) { mIsAlone = aIsAlone; }
+
   // Flows that wait for a slot of any service.
   size_t Waiting() const;
 
@@ -105,6 +117,9 @@
   struct Pool
   {
     std::string mName;
+    // When the first balancer reported after there had been none.
+    TimePoint mSince;
+    size_t mExpected = 0;
     std::map<VmIp, Reporter> mReporters;
     std::vector<Waiter> mQueue;
     // By failure domain of the balancers and upstream.
@@ -148,6 +163,7 @@
 
   std::map<uint32_t, Pool> mPools;
   std::mt19937_64 mRandom;
+  bool mIsAlone = false;
 };
 
 } // namespace foxtail::flow
--- a/src/flow/Fleet.cpp
+++ b/src/flow/Fleet.cpp
@@ -35,6 +35,25 @@
                mSeeds.end());
 }
 
+void
+Fleet::SetReady(TimePoint aNow, bool aIsReady)
+{
+  if (mSelf.mIsReady != aIsReady) {
+    mSelf.mIsReady = aIsReady;
+    NoteChange(aNow, mSelf);
+    mNextBeat = aNow;
+  }
+}
+
+void
+Fleet::NoteChange(TimePoint aNow, const MemberRecord& aRecord)
+{
+  mChangedAt = aNow;
+  if (aRecord.mDomain == mSelf.mDomain) {
+    mDomainChangedAt = aNow;
+  }
+}
+
 bool
 Fleet::Merge(TimePoint aNow, const MemberRecord& aRecord)
 {
@@ -47,6 +66,7 @@
   if (isNew) {
     // Both should know of each other at once, not only with the next beat.
     mNextBeat = std::min(mNextBeat, mLastBeat + kBeatGap);
+    NoteChange(aNow, aRecord);
     mMembers[aRecord.mIp] = { aRecord, aNow, true, {}, kSuspicion };
     return true;
   }
@@ -57,6 +77,9 @@
     return false;
   }
   const bool returned = !member.mWasAlive;
+  if (returned || member.mRecord.mIsReady != aRecord.mIsReady) {
+    NoteChange(aNow, aRecord);
+  }
   member.mRecord = aRecord;
   member.mHeard = aNow;
   member.mWasAlive = true;
@@ -149,6 +172,7 @@
     Member& member = it->second;
     const bool isAlive = IsHeard(aNow, member);
     if (!isAlive && member.mWasAlive) {
+      NoteChange(aNow, member.mRecord);
       events.push_back({ 3102,
                          absl::StrCat(Describe(member.mRecord),
                                       " silent_ms=",
@@ -170,6 +194,7 @@
   if (it == mMembers.end()) {
     return;
   }
+  mChangedAt = aNow;
   Member& member = it->second;
   member.mSuspectUntil = aNow + member.mSuspicion;
   member.mSuspicion =
@@ -232,6 +257,16 @@
   return static_cast<size_t>(alive) + 1;
 }
 
+size_t
+Fleet::ReadyCount(TimePoint aNow) const
+{
+  const auto ready =
+    std::count_if(mMembers.begin(), mMembers.end(), [&](const auto& it) {
+      return it.second.mRecord.mIsReady && IsHeard(aNow, it.second);
+    });
+  return static_cast<size_t>(ready) + (mSelf.mIsReady ? 1 : 0);
+}
+
 bool
 Fleet::IsDomainSilent(TimePoint aNow, const std::string& aDomain) const
 {
--- a/src/flow/FlowBalancer.cpp
+++ b/src/flow/FlowBalancer.cpp
@@ -86,7 +86,7 @@
   if (!isSeed) {
     mNextRead = aNow + kPeersFirst;
   }
-  mFleet.SetReady(false);
+  mFleet.SetReady(aNow, false);
 }
 
 FlowActions
@@ -410,7 +410,12 @@
   }
   if (broker == mFleet.Self().mIp) {
     Deliver(aNow,
-            mBroker.Take(aNow, broker, report, aAccount.mName, mDirectory));
+            mBroker.Take(aNow,
+                   broker,
+                   report,
+                   aAccount.mName,
+                   mDirectory,
+                   ExpectedReports(aNow)));
     return;
   }
   mActions.push_back(SendToPeer{ broker, std::move(report) });
@@ -455,7 +460,13 @@
   // A broker that does not know the service stays silent: the sender turns to
   // the next one.
   if (!service.empty() && mDirectory.IsUsable()) {
-    Deliver(aNow, mBroker.Take(aNow, aFrom, aReport, service, mDirectory));
+    Deliver(aNow,
+            mBroker.Take(aNow,
+                         aFrom,
+                         aReport,
+                         service,
+                         mDirectory,
+                         ExpectedReports(aNow)));
   }
 }
 
@@ -507,10 +518,14 @@
 // Time.
 
 Duration
-FlowBalancer::HandshakeLimit() const
+FlowBalancer::HandshakeLimit(TimePoint aNow) const
 {
+  if (aNow - mFleet.DomainChangedAt() < kRotationSettles) {
+    return kMostHandshake;
+  }
   const Duration limit = mHandshake + 6 * mHandshakeDeviation;
-  return std::clamp<Duration>(limit, kLeastHandshake, kMostHandshake);
+  return std::clamp<Duration>(limit, kLeastHandshake, kMostHandshake) +
+         std::min<Duration>(2 * mLag, kMostHandshake);
 }
 
 void
@@ -518,7 +533,7 @@
 {
   std::vector<uint64_t> ended;
   std::map<uint32_t, bool> waiting;
-  const Duration limit = HandshakeLimit();
+  const Duration limit = HandshakeLimit(aNow);
   for (auto& [id, opening] : mOpenings) {
     if (aNow - opening.mArrived >= kOpeningLife) {
       ended.push_back(id);
@@ -555,6 +570,37 @@
   }
 }
 
+bool
+FlowBalancer::IsAlone(TimePoint aNow) const
+{
+  const bool hasSeeds = std::any_of(
+    mSettings.mSeeds.begin(), mSettings.mSeeds.end(), [&](VmIp it) {
+      return it != mSettings.mSelf.mIp;
+    });
+  return hasSeeds && mFleet.AliveCount(aNow) == 1;
+}
+
+size_t
+FlowBalancer::ExpectedReports(TimePoint aNow) const
+{
+  const bool isNew = aNow - mFleet.ChangedAt() < kNewView;
+  return isNew ? mFleet.ReadyCount(aNow) : 0;
+}
+
+void
+FlowBalancer::CheckBrokers(TimePoint aNow)
+{
+  if (mFleet.ChangedAt() == mSeenChange || !CanPlace(aNow)) {
+    return;
+  }
+  mSeenChange = mFleet.ChangedAt();
+  for (auto& [service, account] : mAccounts) {
+    if (mFleet.BrokerOf(aNow, service) != account.mBroker) {
+      Report(aNow, service, account);
+    }
+  }
+}
+
 void
 FlowBalancer::CheckAccounts(TimePoint aNow)
 {
@@ -594,8 +640,14 @@
 FlowActions
 FlowBalancer::OnTimer(TimePoint aNow)
 {
+  if (aNow > mExpected && mExpected != TimePoint{}) {
+    mLag = std::max(mLag, aNow - mExpected);
+  }
+  mLag -= mLag / 8;
   RouteWaiting(aNow);
   CheckOpenings(aNow);
+  mBroker.SetAlone(IsAlone(aNow));
+  CheckBrokers(aNow);
   CheckAccounts(aNow);
   if (aNow >= mNextHousekeeping) {
     mNextHousekeeping = aNow + kHousekeeping;
@@ -606,7 +658,7 @@
     }
     Deliver(aNow, mBroker.Tick(aNow, mDirectory));
   }
-  mFleet.SetReady(IsReady());
+  mFleet.SetReady(aNow, IsReady());
   if (auto round = mFleet.Due(aNow)) {
     round->mBeat.mConfirmed = mDirectory.Confirmed();
     round->mBeat.mNewest = mDirectory.Newest();
@@ -617,6 +669,7 @@
     }
   }
   CheckReads(aNow);
+  mExpected = NextDue(aNow);
   return TakeActions();
 }
 
@@ -627,7 +680,7 @@
   if (!CanPlace(aNow)) {
     due = std::min(due, std::max(mNextRead, aNow + kStartPoll));
   }
-  const Duration limit = HandshakeLimit();
+  const Duration limit = HandshakeLimit(aNow);
   for (const auto& [id, opening] : mOpenings) {
     const bool isOffered = opening.mUpstream != 0 && opening.mOffers < kOffers;
     if (isOffered) {
@@ -737,7 +790,7 @@
                      aSource,
                      " after_ms=",
                      ToMilliseconds(aNow - mStarted).count()));
-    mFleet.SetReady(true);
+    mFleet.SetReady(aNow, true);
   }
   return TakeActions();
 }
--- a/src/flow/Ledger.cpp
+++ b/src/flow/Ledger.cpp
@@ -1,5 +1,6 @@
 #include "foxtail/flow/Ledger.h"
 
+#include <algorithm>
 #include <cassert>
 
 namespace foxtail::flow {
@@ -54,6 +55,7 @@
     flow.mAcknowledged = aPacket.mAcknowledgement;
     if (flow.mPhase == Phase::Busy) {
       progress.mAnswer = aNow - flow.mPhaseSince;
+      mAnswer += (*progress.mAnswer - mAnswer) / 16;
       progress.mReleased = true;
       SetPhase(aNow, flow, Phase::Idle);
     }
@@ -77,7 +79,7 @@
   for (auto it = mFlows.begin(); it != mFlows.end();) {
     const Flow& flow = it->second;
     const bool holds = Holds(flow.mPhase);
-    const Duration limit = holds ? Duration(kBusySilence) : kIdleSilence;
+    const Duration limit = holds ? BusySilence() : kIdleSilence;
     const auto next = std::next(it);
     if (aNow - flow.mLastPacket >= limit) {
       released |= holds;
@@ -100,6 +102,12 @@
   }
 }
 
+Duration
+Ledger::BusySilence() const
+{
+  return std::clamp<Duration>(kBusyAnswers * mAnswer, kLeastBusy, kMostBusy);
+}
+
 uint32_t
 Ledger::Held(Cookie aUpstream) const
 {
--- a/src/flow/SlotBroker.cpp
+++ b/src/flow/SlotBroker.cpp
@@ -51,10 +51,15 @@
                  VmIp aFrom,
                  const SlotReport& aReport,
                  const std::string& aService,
-                 const Directory& aDirectory)
+                 const Directory& aDirectory,
+                 size_t aExpected)
 {
   Pool& pool = mPools[aReport.mService];
   pool.mName = aService;
+  pool.mExpected = aExpected;
+  if (pool.mReporters.empty()) {
+    pool.mSince = aNow;
+  }
   Reporter& reporter = pool.mReporters[aFrom];
   if (reporter.mIncarnation != aReport.mIncarnation) {
     if (reporter.mIncarnation > aReport.mIncarnation) {
@@ -212,6 +217,9 @@
     candidate.mLimit = std::max(
       1.0,
       std::floor(slots * kFlowsPerSlot / std::max(1.0, candidate.mSlowness)));
+    if (mIsAlone) {
+      candidate.mLimit = kFlowsAlone;
+    }
     candidates.push_back(candidate);
   }
   return candidates;
@@ -221,7 +229,9 @@
 SlotBroker::Schedule(TimePoint aNow, Pool& aPool, const Directory& aDirectory)
 {
   auto& queue = aPool.mQueue;
-  if (queue.empty()) {
+  const bool isTakingOver = aPool.mReporters.size() < aPool.mExpected &&
+                            aNow - aPool.mSince < kTakeover;
+  if (queue.empty() || isTakingOver) {
     return;
   }
   std::vector<Candidate> candidates = Candidates(aNow, aPool, aDirectory);
