Bound the log, never block on it; serve metrics and status of a node

Each event number has a budget of lines a second, what is left out is counted and said, and a reader that has stopped costs lines, not packets. A node serves Prometheus metrics with histograms, and its status. A second SIGTERM no longer cuts the leave of a node short.

--- a/include/foxtail/daemon/Metrics.h
+++ b/include/foxtail/daemon/Metrics.h
@@ -5,8 +5,10 @@
 #include <memory>
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <string>
+#include <vector>
 
 namespace foxtail::daemon {
 
@@ -28,6 +30,13 @@
                            const std::string& aHelp,
                            const Labels& aLabels = {});
 
+  // The histogram of this name and these labels; aBounds are the upper bounds
+  // of its buckets.
+  prometheus::Histogram& Histogram(const std::string& aName,
+                                   const std::string& aHelp,
+                                   const Labels& aLabels,
+                                   const std::vector<double>& aBounds);
+
   // Sets a counter that is counted elsewhere to aValue, which must not shrink.
   void Advance(const std::string& aName,
                const std::string& aHelp,
--- a/include/foxtail/daemon/Process.h
+++ b/include/foxtail/daemon/Process.h
@@ -7,10 +7,19 @@
 void
 RaiseDescriptorLimit();
 
-// SIGTERM and SIGINT ask the process to stop; the second of them ends it at
-// once with exit code 1. Called once, before the first thread is started.
+// What a second stop signal does.
+enum class SecondStop
+{
+  // The process ends at once with exit code 1.
+  Ends,
+  // The stop that was asked for goes on.
+  Ignored
+};
+
+// SIGTERM and SIGINT ask the process to stop. Called once, before the first
+// thread is started.
 void
-InstallStopSignals();
+InstallStopSignals(SecondStop aSecond = SecondStop::Ends);
 
 // True after the first SIGTERM or SIGINT. Thread-safe.
 bool
--- a/include/foxtail/flow/Fleet.h
+++ b/include/foxtail/flow/Fleet.h
@@ -12,21 +12,28 @@
 
 namespace foxtail::flow {
 
-// The balancers that this one hears of, itself included. Beats go to all peers
-// while they are few and to a random few of them when they are many, so that
-// the cost for each balancer does not grow with the fleet. Not thread-safe.
+// The balancers that this one hears of, itself included. While they are few,
+// beats go to all of them; when they are many, to a random few at longer
+// intervals, mostly of the own failure domain, so that the cost for each
+// balancer does not grow with the fleet. Not thread-safe.
 class Fleet
 {
 public:
-  // Interval of beats. Ten a second to kFanout peers with kGossipRecords each
-  // stay within 7 KB/s.
+  // Up to so many peers are beaten to directly.
+  static constexpr size_t kFewPeers = 14;
+  // Interval of beats to all of a few peers, and to some of many. Four a
+  // second to four peers with kGossipRecords stay below 6 KB/s.
   static constexpr milliseconds kBeatPeriod{ 100 };
+  static constexpr milliseconds kGossipPeriod{ 250 };
   // News of members bring the next beat forward, but no closer than this.
   static constexpr milliseconds kBeatGap{ 10 };
-  // Peers that one beat goes to.
-  static constexpr size_t kFanout = 8;
+  // Peers that one beat goes to when there are many; bytes between failure
+  // domains cost more.
+  static constexpr size_t kFanoutInDomain = 3;
+  static constexpr size_t kFanoutElsewhere = 1;
   // Other members named in one beat.
-  static constexpr size_t kGossipRecords = 3;
+  static constexpr size_t kFewRecords = 2;
+  static constexpr size_t kGossipRecords = 8;
   // A peer that all beats reach is taken for dead after this silence: three
   // beats may be lost or late.
   static constexpr milliseconds kDirectSilence{ 350 };
@@ -41,6 +48,7 @@
 
   Fleet(MemberRecord aSelf, std::vector<VmIp> aSeeds, uint64_t aSeed);
 
+  void SetSeeds(std::vector<VmIp> aSeeds);
   const MemberRecord& Self() const { return mSelf; }
   // A change is told to all peers with the next beat, which is due at once.
   void SetReady(TimePoint aNow, bool aIsReady);
@@ -97,6 +105,7 @@
 
   bool Merge(TimePoint aNow, const MemberRecord& aRecord);
   void NoteChange(TimePoint aNow, const MemberRecord& aRecord);
+  bool AreFew() const { return mMembers.size() <= kFewPeers; }
   bool IsHeard(TimePoint aNow, const Member& aMember) const;
   std::vector<VmIp> PickTargets();
 
--- a/include/foxtail/flow/FlowBalancer.h
+++ b/include/foxtail/flow/FlowBalancer.h
@@ -52,6 +52,21 @@
   VmIp mPeer = 0;
   Revision mAfter = 0;
 };
+enum class Measure
+{
+  // From an opening packet to its placement.
+  Wait,
+  // From the placement to the caller's confirmation.
+  Handshake,
+  // From a request to the first bytes of its answer.
+  Answer
+};
+// A time that was measured, for a histogram.
+struct ObserveTime
+{
+  Measure mMeasure = Measure::Wait;
+  Duration mTime{ 0 };
+};
 struct LogLine
 {
   Event mEvent;
@@ -61,6 +76,7 @@
                                 SendToPeer,
                                 ReadPublisher,
                                 ReadPeer,
+                                ObserveTime,
                                 LogLine>;
 using FlowActions = std::vector<FlowAction>;
 
@@ -69,8 +85,6 @@
   MemberRecord mSelf;
   std::vector<VmIp> mSeeds;
   uint64_t mSeed = 0;
-  // The whole fleet starts now, so peers know nothing either.
-  bool mIsFirstStart = false;
 };
 
 // What happened, since the start.
@@ -127,6 +141,8 @@
   static constexpr milliseconds kReadRetry{ 200 };
   // Silence of the publisher or of a peer during a read.
   static constexpr milliseconds kReadTimeout{ 1000 };
+  // A peer of another failure domain is read after this time.
+  static constexpr milliseconds kNearFirst{ 120 };
   // A starting balancer that is no seed gives its peers this long to tell it
   // all before it reads the publisher: one round trip to a seed, and one more.
   static constexpr milliseconds kPeersFirst{ 40 };
@@ -150,6 +166,9 @@
   // When OnTimer must be called at the latest.
   TimePoint NextDue(TimePoint aNow) const;
 
+  // Other VMs to ask when none is known.
+  void SetSeeds(const std::vector<VmIp>& aSeeds);
+
   // No new broker duties; everything else goes on.
   void Leave();
 
@@ -275,6 +294,8 @@
   TimePoint mNextRead;
   // A peer that knows more than this balancer.
   VmIp mAhead = 0;
+  // Since when peers have known more.
+  TimePoint mAheadSince;
   TimePoint mNextHousekeeping;
   bool mIsLeaving = false;
   bool mHasPlaced = false;
--- a/src/daemon/Log.cpp
+++ b/src/daemon/Log.cpp
@@ -2,6 +2,10 @@
 
 #include <chrono>
 #include <cstdlib>
+#include <mutex>
+
+#include <poll.h>
+#include <unistd.h>
 
 #include "absl/strings/str_format.h"
 #include "absl/time/clock.h"
@@ -9,6 +13,8 @@
 #include "easylogging++.h"
 #include "nlohmann/json.hpp"
 
+#include "foxtail/daemon/LogBudget.h"
+
 INITIALIZE_EASYLOGGINGPP
 
 namespace foxtail::daemon {
@@ -40,6 +46,43 @@
            { "detail", aEvent.mDetail } };
 }
 
+struct Budget
+{
+  std::mutex mMutex;
+  LogBudget mBudget;
+};
+
+Budget&
+ProcessBudget()
+{
+  static Budget sBudget;
+  return sBudget;
+}
+
+// Writes what the reader of the log takes at once. A pipe that is ready takes
+// PIPE_BUF bytes without blocking; longer lines are cut there.
+class NonBlockingWriter : public el::LogDispatchCallback
+{
+protected:
+  void handle(const el::LogDispatchData* aData) override
+  {
+    const std::string& message = aData->logMessage()->message();
+    std::string line = message.substr(0, PIPE_BUF - 1);
+    line += '\n';
+    pollfd item{ STDOUT_FILENO, POLLOUT, 0 };
+    const bool isReady =
+      poll(&item, 1, 0) == 1 && (item.revents & POLLOUT) != 0;
+    const bool isWritten =
+      isReady && write(STDOUT_FILENO, line.data(), line.size()) ==
+                   static_cast<ssize_t>(line.size());
+    if (!isWritten) {
+      Budget& budget = ProcessBudget();
+      const std::lock_guard<std::mutex> lock(budget.mMutex);
+      budget.mBudget.CountUnwritten();
+    }
+  }
+};
+
 std::string
 Dump(const nlohmann::ordered_json& aLine)
 {
@@ -59,6 +102,9 @@
   configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
   configuration.setGlobally(el::ConfigurationType::Format, "%msg");
   el::Loggers::reconfigureLogger("default", configuration);
+  el::Helpers::installLogDispatchCallback<NonBlockingWriter>("non-blocking");
+  el::Helpers::uninstallLogDispatchCallback<
+    el::base::DefaultLogDispatchCallback>("DefaultLogDispatchCallback");
 }
 
 std::string
@@ -67,19 +113,16 @@
   return Dump(EventJson(aEvent));
 }
 
+namespace {
+
 void
-LogEvent(const Event& aEvent)
+WriteEvent(const Event& aEvent)
 {
-  static const bool sDebug = std::getenv("FOXTAIL_DEBUG") != nullptr;
-  const Severity severity = FindEvent(aEvent.mId).mSeverity;
-  if (severity == Severity::Debug && !sDebug) {
-    return;
-  }
   nlohmann::ordered_json line = EventJson(aEvent);
   line["time"] =
     absl::FormatTime("%Y-%m-%dT%H:%M:%E3SZ", absl::Now(), absl::UTCTimeZone());
   const std::string text = Dump(line);
-  switch (severity) {
+  switch (FindEvent(aEvent.mId).mSeverity) {
     case Severity::Debug:
     case Severity::Info:
       LOG(INFO) << text;
@@ -93,4 +136,30 @@
   }
 }
 
+} // namespace
+
+void
+LogEvent(const Event& aEvent)
+{
+  static const bool sDebug = std::getenv("FOXTAIL_DEBUG") != nullptr;
+  if (FindEvent(aEvent.mId).mSeverity == Severity::Debug && !sDebug) {
+    return;
+  }
+  const TimePoint now = std::chrono::steady_clock::now();
+  std::optional<Event> leftOut;
+  bool mayWrite = false;
+  {
+    Budget& budget = ProcessBudget();
+    const std::lock_guard<std::mutex> lock(budget.mMutex);
+    leftOut = budget.mBudget.Report(now);
+    mayWrite = budget.mBudget.Take(now, aEvent.mId);
+  }
+  if (leftOut) {
+    WriteEvent(*leftOut);
+  }
+  if (mayWrite) {
+    WriteEvent(aEvent);
+  }
+}
+
 } // namespace foxtail::daemon
--- a/src/daemon/Metrics.cpp
+++ b/src/daemon/Metrics.cpp
@@ -34,6 +34,19 @@
     .Add(aLabels);
 }
 
+prometheus::Histogram&
+Metrics::Histogram(const std::string& aName,
+                   const std::string& aHelp,
+                   const Labels& aLabels,
+                   const std::vector<double>& aBounds)
+{
+  return prometheus::BuildHistogram()
+    .Name(aName)
+    .Help(aHelp)
+    .Register(*mRegistry)
+    .Add(aLabels, aBounds);
+}
+
 void
 Metrics::Advance(const std::string& aName,
                  const std::string& aHelp,
--- a/src/daemon/Process.cpp
+++ b/src/daemon/Process.cpp
@@ -11,13 +11,14 @@
 namespace {
 
 std::atomic<int> gStopSignals{ 0 };
+std::atomic<bool> gSecondEnds{ true };
 static_assert(std::atomic<int>::is_always_lock_free,
               "a signal handler may use it");
 
 void
 OnStopSignal(int /*aSignal*/)
 {
-  if (++gStopSignals > 1) {
+  if (++gStopSignals > 1 && gSecondEnds) {
     _exit(1);
   }
 }
@@ -35,8 +36,9 @@
 }
 
 void
-InstallStopSignals()
+InstallStopSignals(SecondStop aSecond)
 {
+  gSecondEnds = aSecond == SecondStop::Ends;
   struct sigaction action = {};
   action.sa_handler = OnStopSignal;
   sigemptyset(&action.sa_mask);
--- a/src/flow/Fleet.cpp
+++ b/src/flow/Fleet.cpp
@@ -28,9 +28,15 @@
 
 Fleet::Fleet(MemberRecord aSelf, std::vector<VmIp> aSeeds, uint64_t aSeed)
   : mSelf(std::move(aSelf))
-  , mSeeds(std::move(aSeeds))
   , mRandom(aSeed)
 {
+  SetSeeds(std::move(aSeeds));
+}
+
+void
+Fleet::SetSeeds(std::vector<VmIp> aSeeds)
+{
+  mSeeds = std::move(aSeeds);
   mSeeds.erase(std::remove(mSeeds.begin(), mSeeds.end(), mSelf.mIp),
                mSeeds.end());
 }
@@ -115,14 +121,19 @@
 std::vector<VmIp>
 Fleet::PickTargets()
 {
-  std::vector<VmIp> targets;
+  std::vector<VmIp> near;
+  std::vector<VmIp> far;
   for (const auto& [ip, member] : mMembers) {
-    targets.push_back(ip);
+    (member.mRecord.mDomain == mSelf.mDomain ? near : far).push_back(ip);
   }
-  if (targets.size() > kFanout) {
-    std::shuffle(targets.begin(), targets.end(), mRandom);
-    targets.resize(kFanout);
+  if (!AreFew()) {
+    std::shuffle(near.begin(), near.end(), mRandom);
+    std::shuffle(far.begin(), far.end(), mRandom);
+    near.resize(std::min(near.size(), kFanoutInDomain));
+    far.resize(std::min(far.size(), kFanoutElsewhere));
   }
+  std::vector<VmIp> targets = std::move(near);
+  targets.insert(targets.end(), far.begin(), far.end());
   // A seed that is not known yet may be starting or cut off.
   for (const VmIp it : mSeeds) {
     if (mMembers.count(it) == 0) {
@@ -138,7 +149,7 @@
   if (aNow < mNextBeat) {
     return std::nullopt;
   }
-  mNextBeat = aNow + kBeatPeriod;
+  mNextBeat = aNow + (AreFew() ? kBeatPeriod : kGossipPeriod);
   mLastBeat = aNow;
   ++mSelf.mPulse;
   Round round;
@@ -151,7 +162,8 @@
     }
   }
   std::shuffle(others.begin(), others.end(), mRandom);
-  others.resize(std::min(others.size(), kGossipRecords));
+  others.resize(
+    std::min(others.size(), AreFew() ? kFewRecords : kGossipRecords));
   round.mBeat.mOthers = std::move(others);
   return round;
 }
@@ -159,8 +171,8 @@
 bool
 Fleet::IsHeard(TimePoint aNow, const Member& aMember) const
 {
-  const Duration limit = mMembers.size() <= kFanout ? Duration(kDirectSilence)
-                                                    : Duration(kGossipSilence);
+  const Duration limit =
+    AreFew() ? Duration(kDirectSilence) : Duration(kGossipSilence);
   return aNow - aMember.mHeard < limit;
 }
 
--- a/src/flow/FlowBalancer.cpp
+++ b/src/flow/FlowBalancer.cpp
@@ -156,6 +156,7 @@
   }
   if (progress.mHandshake) {
     ++mCounters.mOpened;
+    mActions.push_back(ObserveTime{ Measure::Handshake, *progress.mHandshake });
     const Duration error = *progress.mHandshake - mHandshake;
     mHandshake += error / 16;
     mHandshakeDeviation +=
@@ -166,6 +167,7 @@
   }
   Account& account = AccountOf(aUpstream.mRecord.mService);
   if (progress.mAnswer) {
+    mActions.push_back(ObserveTime{ Measure::Answer, *progress.mAnswer });
     account.mAnswers.push_back(
       { aUpstream.mCookie, ToMilliseconds(*progress.mAnswer) });
   }
@@ -275,6 +277,7 @@
   ++mCounters.mPlaced;
   mCounters.mOfferedAgain += aOpening.mOffers > 1 ? 1 : 0;
   mLedger.Place(aNow, aOpening.mKey, aUpstream);
+  mActions.push_back(ObserveTime{ Measure::Wait, aNow - aOpening.mArrived });
   ForwardTo(*upstream, aOpening.mBytes);
   Log(5101,
       absl::StrCat(FlowText(aOpening.mKey),
@@ -411,11 +414,11 @@
   if (broker == mFleet.Self().mIp) {
     Deliver(aNow,
             mBroker.Take(aNow,
-                   broker,
-                   report,
-                   aAccount.mName,
-                   mDirectory,
-                   ExpectedReports(aNow)));
+                         broker,
+                         report,
+                         aAccount.mName,
+                         mDirectory,
+                         ExpectedReports(aNow)));
     return;
   }
   mActions.push_back(SendToPeer{ broker, std::move(report) });
@@ -460,13 +463,10 @@
   // A broker that does not know the service stays silent: the sender turns to
   // the next one.
   if (!service.empty() && mDirectory.IsUsable()) {
-    Deliver(aNow,
-            mBroker.Take(aNow,
-                         aFrom,
-                         aReport,
-                         service,
-                         mDirectory,
-                         ExpectedReports(aNow)));
+    Deliver(
+      aNow,
+      mBroker.Take(
+        aNow, aFrom, aReport, service, mDirectory, ExpectedReports(aNow)));
   }
 }
 
@@ -573,8 +573,8 @@
 bool
 FlowBalancer::IsAlone(TimePoint aNow) const
 {
-  const bool hasSeeds = std::any_of(
-    mSettings.mSeeds.begin(), mSettings.mSeeds.end(), [&](VmIp it) {
+  const bool hasSeeds =
+    std::any_of(mSettings.mSeeds.begin(), mSettings.mSeeds.end(), [&](VmIp it) {
       return it != mSettings.mSelf.mIp;
     });
   return hasSeeds && mFleet.AliveCount(aNow) == 1;
@@ -698,6 +698,13 @@
   return due;
 }
 
+void
+FlowBalancer::SetSeeds(const std::vector<VmIp>& aSeeds)
+{
+  mSettings.mSeeds = aSeeds;
+  mFleet.SetSeeds(aSeeds);
+}
+
 void
 FlowBalancer::Leave()
 {
@@ -726,8 +733,16 @@
   const bool knowsMore =
     aBeat.mNewest > mDirectory.Confirmed() || !mDirectory.IsUsable();
   if (knowsMore) {
-    mAhead = aFrom;
-    CheckReads(aNow);
+    // A replica from the own failure domain is cheaper; others are asked when
+    // none of it has come for a beat or two.
+    const bool isNear = aBeat.mSelf.mDomain == mFleet.Self().mDomain;
+    if (mAheadSince == TimePoint{}) {
+      mAheadSince = aNow;
+    }
+    if (isNear || aNow - mAheadSince >= kNearFirst) {
+      mAhead = aFrom;
+      CheckReads(aNow);
+    }
     return;
   }
   // Nothing that matters happened up to the revision that the peer confirms.
@@ -749,6 +764,7 @@
     mReadStarted = aNow;
     mActions.push_back(ReadPeer{ mAhead, mDirectory.Confirmed() });
     mAhead = 0;
+    mAheadSince = TimePoint{};
     return;
   }
   const bool isOld = !mDirectory.IsUsable() ||
