Serve the newest first while a queue stands; an in-memory fleet as a test

Cause: in a crest of 1.5 times the capacity each waiting flow got its slot when it was almost too late: 370 of 720 a second within the objective, in the new in-memory test. The test also found a reset for a flow that another balancer had placed while the rotation moved; such flows are now dropped silently.

--- a/include/foxtail/flow/FlowBalancer.h
+++ b/include/foxtail/flow/FlowBalancer.h
@@ -236,6 +236,10 @@
   void OpenAgain(TimePoint aNow, Opening& aOpening);
   void Offer(TimePoint aNow, Opening& aOpening, Cookie aUpstream);
   void Refuse(TimePoint aNow, const Opening& aOpening, const char* aReason);
+  // The flow may be open by now: an upstream has its opening packet, or the
+  // fabric may have taken a copy to another balancer. It gets no reset then;
+  // the caller gives up by itself.
+  bool MayBeElsewhere(const Opening& aOpening) const;
   void ForwardTo(const Upstream& aUpstream, std::string_view aBytes);
   void Progress(TimePoint aNow,
                 const Packet& aPacket,
--- a/include/foxtail/flow/SlotBroker.h
+++ b/include/foxtail/flow/SlotBroker.h
@@ -35,6 +35,12 @@
   // A flow that waited this long is refused: callers give up on an opening
   // packet after 1.4 s, and a refusal in time lets them try again.
   static constexpr milliseconds kLongestWait{ 1000 };
+  // Mean answer times that must remain for a flow to be in time: three of four
+  // answers take less.
+  static constexpr double kWorkReserve = 1.5;
+  // A queue stands when a flow has waited for this part of its objective; that
+  // much is lost to no one's harm.
+  static constexpr int kStandingPart = 4;
   // An upstream that left an opening packet unanswered is left out this long;
   // doubles with each further one up to kLongestSilence.
   static constexpr milliseconds kFirstSilence{ 150 };
--- a/src/flow/FlowBalancer.cpp
+++ b/src/flow/FlowBalancer.cpp
@@ -312,8 +312,19 @@
                    " waited_ms=",
                    ToMilliseconds(aNow - aOpening.mArrived).count(),
                    " offers=",
-                   aOpening.mOffers));
-  mActions.push_back(ResetFlow{ aOpening.mKey });
+                   aOpening.mOffers,
+                   " silent=",
+                   MayBeElsewhere(aOpening)));
+  if (!MayBeElsewhere(aOpening)) {
+    mActions.push_back(ResetFlow{ aOpening.mKey });
+  }
+}
+
+bool
+FlowBalancer::MayBeElsewhere(const Opening& aOpening) const
+{
+  return aOpening.mOffers > 0 ||
+         mFleet.DomainChangedAt() + kRotationSettles > aOpening.mArrived;
 }
 
 void
--- a/src/flow/SlotBroker.cpp
+++ b/src/flow/SlotBroker.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <tuple>
 
 #include "foxtail/core/Hash.h"
 
@@ -262,19 +261,31 @@
 SlotBroker::Rank(TimePoint aNow, Pool& aPool, size_t aCount)
 {
   auto& queue = aPool.mQueue;
+  bool isStanding = false;
   for (Waiter& it : queue) {
-    it.mIsLate = !CanBeInTime(
-      aNow, it.mFirst, it.mRequest.mObjective, aPool.mMeanAnswerMs);
+    it.mIsLate = !CanBeInTime(aNow,
+                              it.mFirst,
+                              it.mRequest.mObjective,
+                              kWorkReserve * aPool.mMeanAnswerMs);
+    isStanding |= aNow - it.mFirst >= it.mRequest.mObjective / kStandingPart;
   }
-  // Those that can be in time first, the urgent and the old before others.
-  std::partial_sort(
-    queue.begin(),
-    queue.begin() + static_cast<ptrdiff_t>(aCount),
-    queue.end(),
-    [](const Waiter& a, const Waiter& b) {
-      return std::tie(a.mIsLate, a.mRequest.mPriority, a.mFirst) <
-             std::tie(b.mIsLate, b.mRequest.mPriority, b.mFirst);
-    });
+  // Those that can be in time first, the urgent before others. Among equals
+  // the oldest, but the newest while a queue stands: served in turn, each
+  // would get its slot when it is almost too late.
+  const auto comesFirst = [isStanding](const Waiter& a, const Waiter& b) {
+    if (a.mIsLate != b.mIsLate) {
+      return b.mIsLate;
+    }
+    if (a.mRequest.mPriority != b.mRequest.mPriority) {
+      return a.mRequest.mPriority < b.mRequest.mPriority;
+    }
+    const bool newestFirst = isStanding && !a.mIsLate;
+    return newestFirst ? a.mFirst > b.mFirst : a.mFirst < b.mFirst;
+  };
+  std::partial_sort(queue.begin(),
+                    queue.begin() + static_cast<ptrdiff_t>(aCount),
+                    queue.end(),
+                    comesFirst);
 }
 
 void
--- /dev/null
+++ b/tests/FlowWorld.h
@@ -0,0 +1,226 @@
+#ifndef tests_FlowWorld_h
+#define tests_FlowWorld_h
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "foxtail/flow/FlowBalancer.h"
+
+// A deployment in memory: balancers, upstreams, callers, the fabric and the
+// publisher, with a clock of its own. It judges only what callers and upstreams
+// see. Everything follows from the seed.
+namespace foxtail::test {
+
+// A balancer without any of the ideas: sends each packet to the upstream that
+// the flow's hash gives among those that it read last, whatever their state.
+// The world must catch it.
+struct NaiveBalancer
+{
+  std::vector<flow::UpstreamRecord> mUpstreams;
+};
+
+struct FlowWorldSettings
+{
+  uint64_t mSeed = 1;
+  std::vector<std::string> mDomains{ "a", "b", "c" };
+  size_t mBalancersPerDomain = 2;
+  size_t mUpstreamsPerDomain = 4;
+  uint32_t mSlots = 3;
+  // Requests an upstream keeps waiting before it turns one away.
+  size_t mQueue = 12;
+  milliseconds mWork{ 50 };
+  milliseconds mObjective{ 250 };
+  double mRequestsPerSecond = 200;
+  bool mIsNaive = false;
+};
+
+// What callers and upstreams saw.
+struct FlowOutcome
+{
+  uint64_t mAsked = 0;
+  uint64_t mInTime = 0;
+  uint64_t mLate = 0;
+  // Refused before it was open, in all tries.
+  uint64_t mRefused = 0;
+  uint64_t mUnanswered = 0;
+  // Broken promises.
+  uint64_t mRunTwice = 0;
+  uint64_t mOtherService = 0;
+  uint64_t mStrayPackets = 0;
+  uint64_t mResetWhileOpen = 0;
+  uint64_t mOpenedWhileDraining = 0;
+  uint64_t mChangedPackets = 0;
+
+  double InTimeShare() const
+  {
+    return mAsked == 0 ? 0.0
+                       : static_cast<double>(mInTime) /
+                           static_cast<double>(mAsked);
+  }
+};
+
+class FlowWorld
+{
+public:
+  explicit FlowWorld(const FlowWorldSettings& aSettings);
+
+  // Lets time pass; callers ask at their rate.
+  void Run(milliseconds aTime);
+  // The same without new requests, until nothing is open.
+  void Settle();
+
+  // Troubles.
+  void SetRate(double aRequestsPerSecond) { mRate = aRequestsPerSecond; }
+  void KillBalancer(size_t aIndex);
+  void StartBalancer(size_t aIndex);
+  void CutDomain(const std::string& aDomain) { mCut = aDomain; }
+  void HealDomain() { mCut.clear(); }
+  // The publisher answers nobody.
+  void SetPublisherDown(bool aIsDown) { mPublisherIsDown = aIsDown; }
+  void Drain(size_t aUpstream);
+  // The upstream falls silent; its record goes aLapse later.
+  void Crash(size_t aUpstream, milliseconds aLapse);
+  // The address of a crashed upstream goes to a new one of the other service.
+  void Reuse(size_t aUpstream);
+  // All records go at once and come back later, while upstreams live.
+  void LapseAll(milliseconds aBack);
+  // The route moves to the other service.
+  void MoveRoute();
+
+  const FlowOutcome& Outcome() const { return mOutcome; }
+  const flow::FlowBalancer& BalancerAt(size_t aIndex) const;
+  // Calls to the publisher so far.
+  uint64_t PublisherReads() const { return mPublisherReads; }
+  size_t Balancers() const { return mNodes.size(); }
+  TimePoint Now() const { return mNow; }
+
+private:
+  struct Node
+  {
+    flow::VmIp mIp = 0;
+    std::string mDomain;
+    bool mIsAlive = false;
+    // Grows with each start: what is on its way to an earlier life is lost.
+    uint64_t mLife = 0;
+    std::variant<std::unique_ptr<flow::FlowBalancer>, NaiveBalancer> mBalancer;
+  };
+  struct UpstreamFlow
+  {
+    uint64_t mRequest = 0;
+    bool mIsOpen = false;
+    bool mHasAnswered = false;
+    uint32_t mSequence = 0;
+  };
+  struct UpstreamState
+  {
+    flow::UpstreamRecord mRecord;
+    bool mIsAlive = true;
+    bool mIsDraining = false;
+    TimePoint mDrainingSince;
+    std::map<uint64_t, UpstreamFlow> mFlows;
+    uint32_t mBusy = 0;
+    std::vector<uint64_t> mWaiting;
+  };
+  // One try of a request: a flow of its own.
+  struct Try
+  {
+    uint64_t mRequest = 0;
+    FlowKey mKey;
+    std::string mDomain;
+    std::string mService;
+    TimePoint mAskedAt;
+    int mTry = 0;
+    bool mHasEnded = false;
+    bool mIsOpen = false;
+    flow::Cookie mCookie = 0;
+    // The upstream's sequence number that the caller confirmed.
+    uint32_t mConfirmed = 0;
+    size_t mUpstream = 0;
+  };
+  struct Timed
+  {
+    TimePoint mAt;
+    uint64_t mOrder = 0;
+    std::function<void()> mWhat;
+    bool operator<(const Timed& aOther) const
+    {
+      return std::tie(mAt, mOrder) > std::tie(aOther.mAt, aOther.mOrder);
+    }
+  };
+
+  void At(Duration aDelay, std::function<void()> aWhat);
+  void Step();
+  void Publish(size_t aUpstream);
+  void Unpublish(size_t aUpstream);
+  flow::ReplicaUpdate Published(flow::Revision aAfter) const;
+  Duration Delay(const std::string& aFrom, const std::string& aTo) const;
+  bool IsCut(const std::string& aFrom, const std::string& aTo) const;
+
+  void Ask();
+  void StartTry(uint64_t aRequest, TimePoint aAskedAt, int aTry);
+  void SendSyn(uint64_t aTry, uint32_t aCopy);
+  void SendFromCaller(uint64_t aTry, flow::Packet aPacket);
+  void EndTry(uint64_t aTry, bool aIsAnswered, bool aMayRetry);
+  size_t Route(const FlowKey& aKey, const std::string& aDomain) const;
+
+  void DeliverToBalancer(size_t aNode, const flow::Packet& aPacket);
+  void DeliverToUpstream(const std::string& aFromDomain,
+                         const Address& aAddress,
+                         uint64_t aInstance,
+                         flow::Cookie aCookie,
+                         const std::string& aBytes);
+  void OnSyn(size_t aUpstream, uint64_t aTry, flow::Cookie aCookie);
+  void OnRequest(size_t aUpstream, uint64_t aTry, uint32_t aConfirmed);
+  void StartWork(size_t aUpstream);
+  void Answer(size_t aUpstream, uint64_t aTry);
+  void OnSynAck(uint64_t aTry,
+                size_t aUpstream,
+                flow::Cookie aCookie,
+                uint32_t aSequence);
+
+  void Carry(size_t aNode, const flow::FlowActions& aActions);
+  void Do(size_t aNode, const flow::ForwardPacket& aAction);
+  void Do(size_t aNode, const flow::ResetFlow& aAction);
+  void Do(size_t aNode, const flow::SendToPeer& aAction);
+  void Do(size_t aNode, const flow::ReadPublisher& aAction);
+  void Do(size_t aNode, const flow::ReadPeer& aAction);
+  void Do(size_t, const flow::ObserveTime&) {}
+  void Do(size_t, const flow::LogLine&) {}
+
+  FlowWorldSettings mSettings;
+  std::mt19937_64 mRandom;
+  TimePoint mNow{ seconds(1000) };
+  uint64_t mOrder = 0;
+  std::priority_queue<Timed> mEvents;
+  std::vector<Node> mNodes;
+  std::vector<UpstreamState> mUpstreams;
+  std::map<std::string, std::pair<flow::Revision, size_t>> mPublished;
+  std::vector<flow::RemovedRecord> mRemovals;
+  flow::Configuration mConfiguration;
+  flow::Revision mRevision = 1;
+  bool mPublisherIsDown = false;
+  uint64_t mPublisherReads = 0;
+  std::string mCut;
+  double mRate = 0;
+  TimePoint mNextAsk;
+  std::map<uint64_t, Try> mTries;
+  std::map<FlowKey, uint64_t, bool (*)(const FlowKey&, const FlowKey&)>
+    mTryByKey;
+  std::map<uint64_t, int> mRuns;
+  uint64_t mLastRequest = 0;
+  uint64_t mLastTry = 0;
+  uint64_t mNextInstance = 0x1000;
+  uint16_t mNextPort = 1024;
+  FlowOutcome mOutcome;
+};
+
+} // namespace foxtail::test
+
+#endif
