Leave long listings to seeds; reports fit a datagram; tests of the flow path

Found by the new tests: a report of more than about 40 waiting flows exceeded a datagram and was not sent (2,144 bytes); a record that was removed and back in one update stayed gone.

--- a/include/foxtail/flow/FlowBalancer.h
+++ b/include/foxtail/flow/FlowBalancer.h
@@ -45,6 +45,15 @@
   Revision mAfter = 0;
   // Nothing is known yet: read everything.
   bool mWhole = false;
+  // Calls that the whole may take; zero for any number.
+  size_t mMostPages = 0;
+};
+enum class ReadOutcome
+{
+  // Answered or failed.
+  Ended,
+  // The listing has more pages than the read was allowed.
+  TooLong
 };
 // Ask a peer for what changed after this revision.
 struct ReadPeer
@@ -114,9 +123,11 @@
   // Reports without an answer until the broker is taken for dead.
   static constexpr uint32_t kReportTries = 2;
   // While flows wait for slots anyway, new ones are asked for together.
-  static constexpr milliseconds kQueueDelay{ 8 };
+  static constexpr milliseconds kQueueDelay{ 4 };
+  // Requests in one report, so that it fits a datagram; the rest follows.
+  static constexpr size_t kMostRequests = 24;
   // A released slot is reported with the next request or after this time.
-  static constexpr milliseconds kReleaseDelay{ 6 };
+  static constexpr milliseconds kReleaseDelay{ 3 };
   // A balancer that holds slots or waits for some reports this often.
   static constexpr milliseconds kReportPeriod{ 200 };
   // Least time for an upstream to answer an opening packet and the caller to
@@ -140,12 +151,18 @@
   // A read that is not answered is followed by the next one after this time.
   static constexpr milliseconds kReadRetry{ 200 };
   // Silence of the publisher or of a peer during a read.
-  static constexpr milliseconds kReadTimeout{ 1000 };
+  static constexpr milliseconds kReadTimeout{ 1500 };
   // A peer of another failure domain is read after this time.
   static constexpr milliseconds kNearFirst{ 120 };
   // A starting balancer that is no seed gives its peers this long to tell it
   // all before it reads the publisher: one round trip to a seed, and one more.
   static constexpr milliseconds kPeersFirst{ 40 };
+  // A starting balancer that is no seed leaves a listing of more pages to the
+  // seeds for this long and has it from peers: a large fleet that starts would
+  // ask more of the publisher than it answers in seconds.
+  static constexpr size_t kFewPages = 8;
+  static constexpr milliseconds kLongListing{ 4000 };
+  static constexpr milliseconds kLongListingRetry{ 1500 };
   // A starting balancer places nothing for this long, until it hears its
   // peers: two round trips.
   static constexpr milliseconds kSettle{ 60 };
@@ -161,7 +178,8 @@
   // A read ended with this update; empty when it failed.
   FlowActions OnRead(TimePoint aNow,
                      const std::optional<ReplicaUpdate>& aUpdate,
-                     const std::string& aSource);
+                     const std::string& aSource,
+                     ReadOutcome aOutcome = ReadOutcome::Ended);
   FlowActions OnTimer(TimePoint aNow);
   // When OnTimer must be called at the latest.
   TimePoint NextDue(TimePoint aNow) const;
@@ -302,6 +320,7 @@
   TimePoint mAheadSince;
   TimePoint mNextHousekeeping;
   bool mIsLeaving = false;
+  bool mIsSeed = false;
   bool mHasPlaced = false;
   FlowActions mActions;
 };
--- a/src/flow/Directory.cpp
+++ b/src/flow/Directory.cpp
@@ -57,12 +57,13 @@
 {
   mEvents.clear();
   mChanged = false;
-  for (const UpstreamRecord& it : aUpdate.mUpstreams) {
-    TakeUpstream(aNow, it, aSource);
-  }
+  // What was removed may be back in the same update, not the other way.
   for (const RemovedRecord& it : aUpdate.mRemoved) {
     TakeRemoval(aNow, it);
   }
+  for (const UpstreamRecord& it : aUpdate.mUpstreams) {
+    TakeUpstream(aNow, it, aSource);
+  }
   if (aUpdate.mConfiguration) {
     TakeConfiguration(*aUpdate.mConfiguration, aSource);
   }
--- a/src/flow/FlowBalancer.cpp
+++ b/src/flow/FlowBalancer.cpp
@@ -80,10 +80,10 @@
   , mNextRead(aNow)
   , mNextHousekeeping(aNow)
 {
-  const bool isSeed = std::find(aSettings.mSeeds.begin(),
-                                aSettings.mSeeds.end(),
-                                aSettings.mSelf.mIp) != aSettings.mSeeds.end();
-  if (!isSeed) {
+  mIsSeed = std::find(aSettings.mSeeds.begin(),
+                      aSettings.mSeeds.end(),
+                      aSettings.mSelf.mIp) != aSettings.mSeeds.end();
+  if (!mIsSeed) {
     mNextRead = aNow + kPeersFirst;
   }
   mFleet.SetReady(aNow, false);
@@ -385,24 +385,31 @@
       report.mHeld.push_back({ it, held });
     }
   }
-  // A reply that is overdue or a period that passed: say everything again.
-  report.mIsWhole = aAccount.mMustTellAll;
-  bool waits = false;
+  size_t waiting = 0;
+  size_t unasked = 0;
   for (auto& [id, opening] : mOpenings) {
     if (opening.mService != aService || opening.mUpstream != 0) {
       continue;
     }
-    waits = true;
-    if (report.mIsWhole || !opening.mIsAsked) {
-      opening.mIsAsked = true;
-      report.mRequests.push_back({ id,
-                                   ToMilliseconds(aNow - opening.mArrived),
-                                   opening.mObjective,
-                                   opening.mPriority,
-                                   opening.mKey.mCaller.mIp,
-                                   opening.mExcluded });
+    ++waiting;
+    // After a reply that is overdue or a period, everything is said again.
+    opening.mIsAsked = opening.mIsAsked && !aAccount.mMustTellAll;
+    if (opening.mIsAsked) {
+      continue;
     }
-  }
+    if (report.mRequests.size() == kMostRequests) {
+      ++unasked;
+      continue;
+    }
+    opening.mIsAsked = true;
+    report.mRequests.push_back({ id,
+                                 ToMilliseconds(aNow - opening.mArrived),
+                                 opening.mObjective,
+                                 opening.mPriority,
+                                 opening.mKey.mCaller.mIp,
+                                 opening.mExcluded });
+  }
+  report.mIsWhole = aAccount.mMustTellAll && unasked == 0;
   report.mSilent = std::move(aAccount.mSilent);
   report.mAnswers = std::move(aAccount.mAnswers);
   aAccount.mSilent.clear();
@@ -413,15 +420,16 @@
       aAccount.mAwaitsSince = aNow;
     }
   }
-  aAccount.mMustTellAll = false;
   aAccount.mDue.reset();
-  const bool isActive = waits || !report.mHeld.empty();
+  const bool isActive = waiting > 0 || !report.mHeld.empty();
   if (isActive) {
-    aAccount.mDue = aNow + kReportPeriod;
+    aAccount.mDue =
+      aNow + (unasked > 0 ? Duration(kQueueDelay) : Duration(kReportPeriod));
   }
-  if (report.mIsWhole) {
+  if (aAccount.mMustTellAll) {
     aAccount.mNextWhole = aNow + kReportPeriod;
   }
+  aAccount.mMustTellAll = false;
   if (broker == mFleet.Self().mIp) {
     Deliver(aNow,
             mBroker.Take(aNow,
@@ -520,9 +528,8 @@
     }
   }
   account.mIsQueueing =
-    std::any_of(mOpenings.begin(), mOpenings.end(), [&](const auto& opening) {
-      return opening.second.mService == aReply.mService &&
-             opening.second.mUpstream == 0;
+    std::any_of(mOpenings.begin(), mOpenings.end(), [&](const auto& n) {
+      return n.second.mService == aReply.mService && n.second.mUpstream == 0;
     });
 }
 
@@ -783,20 +790,24 @@
   if (isOld && aNow >= mNextRead) {
     mIsReading = true;
     mReadStarted = aNow;
-    mActions.push_back(
-      ReadPublisher{ mDirectory.Confirmed(), !mDirectory.IsUsable() });
+    const bool leavesItToSeeds = !mIsSeed && aNow - mStarted < kLongListing;
+    mActions.push_back(ReadPublisher{ mDirectory.Confirmed(),
+                                      !mDirectory.IsUsable(),
+                                      leavesItToSeeds ? kFewPages : 0 });
   }
 }
 
 FlowActions
 FlowBalancer::OnRead(TimePoint aNow,
                      const std::optional<ReplicaUpdate>& aUpdate,
-                     const std::string& aSource)
+                     const std::string& aSource,
+                     ReadOutcome aOutcome)
 {
   mIsReading = false;
   const bool isWhole = mDirectory.IsUsable();
   if (!aUpdate || !isWhole) {
-    mNextRead = aNow + kReadRetry;
+    const bool isTooLong = aOutcome == ReadOutcome::TooLong;
+    mNextRead = aNow + (isTooLong ? kLongListingRetry : kReadRetry);
   }
   if (!aUpdate) {
     return TakeActions();
--- a/src/flow/SlotBroker.cpp
+++ b/src/flow/SlotBroker.cpp
@@ -122,11 +122,11 @@
                     const SlotReport& aReport)
 {
   auto& queue = aPool.mQueue;
-  const auto isAsked = [&](const Waiter& waiter) {
+  const auto isAsked = [&](const Waiter& n) {
     return std::any_of(
       aReport.mRequests.begin(),
       aReport.mRequests.end(),
-      [&](const SlotRequest& it) { return it.mId == waiter.mRequest.mId; });
+      [&](const SlotRequest& it) { return it.mId == n.mRequest.mId; });
   };
   // A whole report ends what it doesn't name; what is asked for again may say
   // more than before.
@@ -146,9 +146,9 @@
               queue.end());
   const auto& pending = aPool.mReporters[aFrom].mPending;
   for (const SlotRequest& it : aReport.mRequests) {
-    const bool isGranted = std::any_of(
-      pending.begin(), pending.end(), [&](const PendingGrant& grant) {
-        return grant.mGrant.mId == it.mId;
+    const bool isGranted =
+      std::any_of(pending.begin(), pending.end(), [&](const PendingGrant& n) {
+        return n.mGrant.mId == it.mId;
       });
     if (isGranted) {
       continue;
--- a/src/net/FlowCodec.cpp
+++ b/src/net/FlowCodec.cpp
@@ -1,8 +1,11 @@
 #include "foxtail/net/FlowCodec.h"
 
+#include <algorithm>
+
 #include "Flow.pb.h"
 
 #include "foxtail/core/Error.h"
+#include "foxtail/flow/FlowBalancer.h"
 
 namespace foxtail::net {
 
@@ -11,9 +14,14 @@
 constexpr int kNoMessage = 740;
 constexpr int kOutOfRange = 741;
 // An hour: longer times come from a broken sender.
-constexpr uint64_t kMostMilliseconds = 3600 * 1000;
-// Lists are cut to this many entries, so that a datagram stays small.
-constexpr int kMostEntries = 60;
+constexpr uint64_t kMostMilliseconds = 3600000;
+// Lists are cut to this many entries, so that a message fits a datagram. What
+// is left out is an estimate that another report brings again.
+constexpr int kMostRequests =
+  static_cast<int>(flow::FlowBalancer::kMostRequests);
+constexpr int kMostHeld = 40;
+constexpr int kMostAnswers = 16;
+constexpr size_t kMostDomainBytes = 64;
 
 uint32_t
 ToWire(milliseconds aTime)
@@ -31,6 +39,20 @@
   return milliseconds(aTime);
 }
 
+// A failure domain's name: printable, so that it can stand in a log line.
+std::string
+ReadDomain(const std::string& aText)
+{
+  const bool isPrintable = aText.size() <= kMostDomainBytes &&
+                           std::all_of(aText.begin(), aText.end(), [](char it) {
+                             return it > ' ' && it <= '~';
+                           });
+  if (!isPrintable) {
+    throw PeerError(kOutOfRange, "flow message", "a domain is no name");
+  }
+  return aText;
+}
+
 void
 Write(const flow::MemberRecord& aRecord, wire::FlowMember& aOut)
 {
@@ -44,9 +66,11 @@
 flow::MemberRecord
 Read(const wire::FlowMember& aIn)
 {
-  return {
-    aIn.ip(), aIn.incarnation(), aIn.pulse(), aIn.domain(), aIn.ready()
-  };
+  return { aIn.ip(),
+           aIn.incarnation(),
+           aIn.pulse(),
+           ReadDomain(aIn.domain()),
+           aIn.ready() };
 }
 
 void
@@ -87,12 +111,15 @@
   out.set_grants_seen(aReport.mGrantsSeen);
   out.set_whole(aReport.mIsWhole);
   for (const flow::SlotCount& it : aReport.mHeld) {
+    if (out.held_size() == kMostHeld) {
+      break;
+    }
     wire::FlowSlotCount& entry = *out.add_held();
     entry.set_upstream(it.mUpstream);
     entry.set_count(it.mCount);
   }
   for (const flow::SlotRequest& it : aReport.mRequests) {
-    if (out.requests_size() == kMostEntries) {
+    if (out.requests_size() == kMostRequests) {
       break;
     }
     wire::FlowSlotRequest& entry = *out.add_requests();
@@ -109,7 +136,7 @@
     out.add_silent(it);
   }
   for (const flow::AnswerTime& it : aReport.mAnswers) {
-    if (out.answers_size() == kMostEntries) {
+    if (out.answers_size() == kMostAnswers) {
       break;
     }
     wire::FlowAnswerTime& entry = *out.add_answers();
@@ -125,7 +152,7 @@
   report.mIncarnation = aIn.incarnation();
   report.mSequence = aIn.sequence();
   report.mService = aIn.service();
-  report.mDomain = aIn.domain();
+  report.mDomain = ReadDomain(aIn.domain());
   report.mGrantsSeen = aIn.grants_seen();
   report.mIsWhole = aIn.whole();
   for (const wire::FlowSlotCount& it : aIn.held()) {
--- /dev/null
+++ b/tests/platform/EntriesTest.cpp
@@ -0,0 +1,229 @@
+#include <catch2/catch.hpp>
+
+#include <random>
+
+#include "Entries.h"
+#include "NodeSettings.h"
+#include "foxtail/core/Error.h"
+
+using namespace foxtail;
+using namespace foxtail::platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string kEntry =
+  R"({"service":"s1","address":"10.128.0.9:8080","zone":"a","version":"v1",)"
+  R"("slots":3,"state":"ready","cold_remaining_ms":40,"sequence":4,)"
+  R"("born":1768688591136})";
+
+const std::string kConfiguration =
+  R"({"version":7,"routes":[{"name":"r1","hostname":"198.18.0.1",)"
+  R"("prefix":"/8443/","kind":"safe","timeout_ms":2500,)"
+  R"("target_latency_ms":250,"priority":2,"traffic_split":)"
+  R"([{"service":"s1","weight":90},{"service":"s2","weight":10}]},)"
+  R"({"name":"r2","hostname":"198.18.0.2","prefix":"/80/","kind":"unsafe",)"
+  R"("priority":1,"service":"s2"}],"limits":{"idle_timeout_ms":15000}})";
+
+const std::string kSettings =
+  R"({"node":"n1","ip":"10.1.0.10","zone":"a","listen":{"datagram_addr":)"
+  R"("10.1.0.10:8172","ready_addr":"10.1.0.10:8167"},"internal_ports":)"
+  R"([7720,7735],"seeds":["10.1.0.10:8166","10.2.0.40:8166"],)"
+  R"("platform":{"address":"10.200.1.7:8169"},"bounds":{"grace_s":6},)"
+  R"("new":true})";
+
+std::string
+Replace(std::string aText, const std::string& aOld, const std::string& aNew)
+{
+  const size_t at = aText.find(aOld);
+  REQUIRE(at != std::string::npos);
+  return aText.replace(at, aOld.size(), aNew);
+}
+
+} // namespace
+
+TEST_CASE("An upstream's entry is decoded", "[platform]")
+{
+  std::string fault;
+  const auto record = DecodeUpstream("i-51385b0168", kEntry, 9, fault);
+  CHECK(fault.empty());
+  CHECK(record.mState == flow::UpstreamState::Ready);
+  CHECK(record.mInstance == 0x51385b0168);
+  CHECK(record.mAddress.ToString() == "10.128.0.9:8080");
+  CHECK(record.mService == "s1");
+  CHECK(record.mDomain == "a");
+  CHECK(record.mSlots == 3);
+  CHECK(record.mCold == 40ms);
+  CHECK(record.mStarted == 1768688591136);
+  CHECK(record.mRevision == 9);
+}
+
+TEST_CASE("A foreign entry names no upstream to use", "[platform]")
+{
+  struct Case
+  {
+    const char* mOld;
+    const char* mNew;
+  };
+  const auto it = GENERATE(values<Case>({
+    { R"("service":"s1",)", "" },
+    { R"("address":"10.128.0.9:8080",)", "" },
+    { R"("zone":"a",)", "" },
+    { R"("version":"v1",)", "" },
+    { R"("slots":3,)", "" },
+    { R"("state":"ready",)", "" },
+    { R"("sequence":4,)", "" },
+    { R"("cold_remaining_ms":40,)", "" },
+    { R"("slots":3)", R"("slots":"3")" },
+    { R"("slots":3)", R"("slots":true)" },
+    { R"("slots":3)", R"("slots":2.5)" },
+    { R"("state":"ready")", R"("state":"resting")" },
+    { R"("state":"ready")", R"("state":1)" },
+    { R"("address":"10.128.0.9:8080")", R"("address":"there")" },
+    { R"("born":1768688591136)", R"("born":"today")" },
+    { R"("born":1768688591136)", R"("born":1.5)" },
+    { "{", "" },
+    { "{", "\xFF\xFE" },
+  }));
+  INFO(it.mOld << " -> " << it.mNew);
+  std::string fault;
+  const auto record =
+    DecodeUpstream("i-7f", Replace(kEntry, it.mOld, it.mNew), 9, fault);
+  CHECK(record.mState == flow::UpstreamState::Unusable);
+  CHECK_FALSE(fault.empty());
+}
+
+TEST_CASE("Ids without a number name no upstream", "[platform]")
+{
+  struct Case
+  {
+    const char* mId;
+    std::optional<uint64_t> mInstance;
+  };
+  const auto it = GENERATE(values<Case>({
+    { "i-7f3a91c2", 0x7f3a91c2 },
+    { "7f3a91c2", 0x7f3a91c2 },
+    { "a-b-ff", 0xff },
+    { "i-ffffffffffffffff", 0xffffffffffffffff },
+    { "i-fffffffffffffffff", std::nullopt },
+    { "i-", std::nullopt },
+    { "", std::nullopt },
+    { "i-xyz", std::nullopt },
+  }));
+  INFO(it.mId);
+  CHECK(InstanceOf(it.mId) == it.mInstance);
+}
+
+TEST_CASE("A configuration is decoded", "[platform]")
+{
+  const auto configuration = DecodeConfiguration(kConfiguration, 12);
+  CHECK(configuration.mVersion == 7);
+  CHECK(configuration.mRevision == 12);
+  CHECK(configuration.mIdleTimeout == 15s);
+  REQUIRE(configuration.mRoutes.size() == 2);
+  const flow::Route& split = configuration.mRoutes[0];
+  CHECK(split.mService.ToString() == "198.18.0.1:8443");
+  REQUIRE(split.mTargets.size() == 2);
+  CHECK(split.mTargets[1].mService == "s2");
+  CHECK(split.mTargets[1].mWeight == 10);
+  CHECK(split.mIsIdempotent);
+  CHECK(split.mObjective == 250ms);
+  CHECK(split.mPriority == 2);
+  const flow::Route& whole = configuration.mRoutes[1];
+  CHECK_FALSE(whole.mIsIdempotent);
+  REQUIRE(whole.mTargets.size() == 1);
+  CHECK(whole.mTargets[0].mService == "s2");
+}
+
+TEST_CASE("A configuration that cannot be read is refused", "[platform]")
+{
+  struct Case
+  {
+    const char* mOld;
+    const char* mNew;
+  };
+  const auto it = GENERATE(values<Case>({
+    { R"("version":7,)", "" },
+    { R"("hostname":"198.18.0.1",)", "" },
+    { R"("prefix":"/8443/")", R"("prefix":"8443")" },
+    { R"("prefix":"/8443/")", R"("prefix":"/99999/")" },
+    { R"("hostname":"198.18.0.1")", R"("hostname":"here")" },
+    { R"("service":"s2"})", R"("none":0})" },
+    { "{", "[" },
+  }));
+  INFO(it.mOld << " -> " << it.mNew);
+  CHECK_THROWS_AS(
+    DecodeConfiguration(Replace(kConfiguration, it.mOld, it.mNew), 1),
+    PlatformError);
+}
+
+TEST_CASE("Settings are read and checked", "[platform]")
+{
+  const NodeSettings settings = ParseNodeSettings(kSettings, "test");
+  CHECK(settings.mName == "n1");
+  CHECK(settings.mDomain == "a");
+  CHECK(settings.mIngress.ToString() == "10.1.0.10:8172");
+  CHECK(settings.mPeers.ToString() == "10.1.0.10:7720");
+  CHECK(settings.mReplica.ToString() == "10.1.0.10:7721");
+  CHECK(settings.mSeeds.size() == 2);
+  CHECK(settings.mGrace == 6s);
+
+  struct Case
+  {
+    const char* mOld;
+    const char* mNew;
+    int mError;
+  };
+  const auto it = GENERATE(values<Case>({
+    { R"("node":"n1",)", "", 104 },
+    { R"("zone":"a",)", "", 104 },
+    { R"("seeds":["10.1.0.10:8166","10.2.0.40:8166"],)", "", 104 },
+    { R"("node":"n1")", R"("node":1)", 106 },
+    { "[7720,7735]", "[7720]", 107 },
+    { "[7720,7735]", "[7735,7720]", 107 },
+    { "10.200.1.7:8169", "store", 108 },
+    { "10.2.0.40:8166", "10.2.0:8166", 108 },
+    { "{", "", 102 },
+  }));
+  INFO(it.mOld << " -> " << it.mNew);
+  try {
+    ParseNodeSettings(Replace(kSettings, it.mOld, it.mNew), "test");
+    FAIL("not refused");
+  } catch (const SettingsError& e) {
+    CHECK(e.Id() == it.mError);
+  }
+}
+
+TEST_CASE("Changed bytes never do more than name a fault",
+          "[platform][badinput]")
+{
+  std::mt19937_64 random(7);
+  const std::string* const sources[] = { &kEntry, &kConfiguration, &kSettings };
+  for (int i = 0; i < 100000; ++i) {
+    std::string text = *sources[i % 3];
+    for (uint64_t n = random() % 4 + 1; n > 0; --n) {
+      text[random() % text.size()] = static_cast<char>(random());
+    }
+    std::string fault;
+    try {
+      switch (i % 3) {
+        case 0: {
+          const auto record = DecodeUpstream("i-1", text, 1, fault);
+          if (!fault.empty() && record.mState == flow::UpstreamState::Ready) {
+            FAIL("used with fault " << fault);
+          }
+          break;
+        }
+        case 1:
+          DecodeConfiguration(text, 1);
+          break;
+        default:
+          ParseNodeSettings(text, "test");
+      }
+    } catch (const PlatformError&) {
+      // Named, as it should be.
+    } catch (const SettingsError&) {
+      // The same.
+    }
+  }
+}
--- /dev/null
+++ b/tests/unit/FlowCodecTest.cpp
@@ -0,0 +1,167 @@
+#include <catch2/catch.hpp>
+
+#include <random>
+
+#include "foxtail/core/Error.h"
+#include "foxtail/flow/FlowBalancer.h"
+#include "foxtail/net/FlowCodec.h"
+
+using namespace foxtail;
+using namespace foxtail::flow;
+using namespace foxtail::net;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::vector<PeerMessage>
+Samples()
+{
+  Beat beat;
+  beat.mSelf = { 10, 1000, 7, "a", true };
+  beat.mConfirmed = 90;
+  beat.mNewest = 80;
+  beat.mConfirmedAge = 120ms;
+  beat.mOthers = { { 11, 1001, 8, "b", false } };
+  SlotReport report;
+  report.mIncarnation = 1000;
+  report.mSequence = 3;
+  report.mService = 77;
+  report.mDomain = "a";
+  report.mGrantsSeen = 5;
+  report.mHeld = { { 1, 2 }, { 3, 4 } };
+  report.mIsWhole = true;
+  report.mRequests = { { 9, 20ms, 250ms, 1, 0x64400007, { 1, 2 } } };
+  report.mSilent = { 4 };
+  report.mAnswers = { { 1, 60ms } };
+  SlotReply reply;
+  reply.mIncarnation = 1000;
+  reply.mSequence = 3;
+  reply.mService = 77;
+  reply.mGrants = { { 9, 6, 1 } };
+  reply.mRefused = { 10, 11 };
+  return { beat, report, reply };
+}
+
+} // namespace
+
+TEST_CASE("Messages between flow balancers come back as they were",
+          "[flow][codec]")
+{
+  for (const PeerMessage& it : Samples()) {
+    const std::string bytes = EncodeFlowMessage(it);
+    CHECK(bytes.size() < 200);
+    const PeerMessage back = DecodeFlowMessage(bytes);
+    CHECK(back.index() == it.index());
+    CHECK(EncodeFlowMessage(back) == bytes);
+  }
+  const auto report =
+    std::get<SlotReport>(DecodeFlowMessage(EncodeFlowMessage(Samples()[1])));
+  CHECK(report.mRequests.at(0).mCallerIp == 0x64400007);
+  CHECK(report.mRequests.at(0).mExcluded == std::vector<Cookie>{ 1, 2 });
+  CHECK(report.mHeld.at(1).mCount == 4);
+}
+
+TEST_CASE("A long report fits a datagram", "[flow][codec]")
+{
+  SlotReport report = std::get<SlotReport>(Samples()[1]);
+  report.mRequests[0].mExcluded.assign(FlowBalancer::kOffers, 1);
+  report.mRequests.resize(500, report.mRequests[0]);
+  report.mHeld.resize(500, { 0xFFFFFFFF, 1000 });
+  report.mAnswers.resize(500, report.mAnswers[0]);
+  CHECK(EncodeFlowMessage(report).size() <= kMaxFlowMessage);
+}
+
+TEST_CASE("What is no message is refused by number", "[flow][codec]")
+{
+  const auto bytes = GENERATE(as<std::string>{}, "", "\xFF", "GET / HTTP/1.1");
+  try {
+    DecodeFlowMessage(bytes);
+    FAIL("not refused");
+  } catch (const PeerError& e) {
+    CHECK(e.Id() == 740);
+  }
+}
+
+TEST_CASE("Changed messages never upset a balancer", "[flow][badinput]")
+{
+  std::mt19937_64 random(11);
+  FlowBalancerSettings settings;
+  settings.mSelf = { 1, 1, 0, "a", false };
+  settings.mSeeds = { 10 };
+  const TimePoint start{ 100s };
+  FlowBalancer balancer(start, settings);
+  ReplicaUpdate update;
+  update.mIsComplete = true;
+  update.mConfirmed = 5;
+  update.mConfiguration = Configuration{};
+  balancer.OnRead(start, update, "store");
+  const auto samples = Samples();
+  for (int i = 0; i < 100000; ++i) {
+    std::string bytes = EncodeFlowMessage(samples[random() % samples.size()]);
+    for (uint64_t n = random() % 4; n > 0; --n) {
+      bytes[random() % bytes.size()] = static_cast<char>(random());
+    }
+    bytes.resize(bytes.size() - random() % 3);
+    try {
+      balancer.OnPeer(
+        start + i * 1ms, static_cast<VmIp>(i % 20), DecodeFlowMessage(bytes));
+    } catch (const PeerError&) {
+      // Named, as it should be.
+    }
+    if (i % 100 == 0) {
+      balancer.OnTimer(start + i * 1ms);
+    }
+  }
+  CHECK(balancer.IsReady());
+}
+
+TEST_CASE("Replicas come back as they were", "[flow][codec]")
+{
+  ReplicaUpdate update;
+  update.mConfirmed = 12;
+  update.mAge = 30ms;
+  UpstreamRecord record;
+  record.mId = "x";
+  record.mRevision = 11;
+  record.mState = UpstreamState::Draining;
+  record.mInstance = 0x51385b0168;
+  record.mAddress = { 1, 2 };
+  record.mService = "s";
+  record.mDomain = "a";
+  record.mSlots = 3;
+  record.mCold = 5ms;
+  record.mStarted = 99;
+  update.mUpstreams = { record };
+  update.mRemoved = { { "y", 10 } };
+  Configuration configuration;
+  configuration.mVersion = 4;
+  configuration.mRevision = 9;
+  configuration.mRoutes = {
+    { "r", { 3, 4 }, { { "s", 2 } }, false, 1s, 250ms, 1 }
+  };
+  update.mConfiguration = configuration;
+  const std::string text = EncodeReplica(update);
+  CHECK(EncodeReplica(DecodeReplica(text)) == text);
+  CHECK(DecodeReplica(text).mUpstreams.at(0).mInstance == 0x51385b0168);
+}
+
+TEST_CASE("Changed replicas are refused or read", "[flow][badinput]")
+{
+  ReplicaUpdate update;
+  update.mUpstreams.resize(2);
+  update.mRemoved.resize(1);
+  update.mConfiguration = Configuration{};
+  const std::string text = EncodeReplica(update);
+  std::mt19937_64 random(13);
+  for (int i = 0; i < 100000; ++i) {
+    std::string changed = text;
+    changed[random() % changed.size()] = static_cast<char>(random());
+    try {
+      DecodeReplica(changed);
+    } catch (const PeerError& e) {
+      if (e.Id() != 742) {
+        FAIL(e.what());
+      }
+    }
+  }
+}
--- /dev/null
+++ b/tests/unit/FlowLedgerTest.cpp
@@ -0,0 +1,121 @@
+#include <catch2/catch.hpp>
+
+#include "foxtail/flow/Ledger.h"
+
+using namespace foxtail;
+using namespace foxtail::flow;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint kStart{ 100s };
+const FlowKey kKey{ { 1, 1024 }, { 9, 80 } };
+constexpr Cookie kUpstream = 7;
+
+Packet
+MakePacket(uint32_t aAcknowledgement, uint32_t aLength, bool aFinishes = false)
+{
+  Packet packet;
+  packet.mKey = kKey;
+  packet.mAcknowledges = true;
+  packet.mAcknowledgement = aAcknowledgement;
+  packet.mLength = aLength;
+  packet.mFinishes = aFinishes;
+  packet.mCookie = kUpstream;
+  return packet;
+}
+
+struct PassCase
+{
+  const char* mName;
+  std::vector<Packet> mPackets;
+  uint32_t mHeld;
+};
+
+} // namespace
+
+TEST_CASE("A slot is held from the placement to the first answer",
+          "[flow][ledger]")
+{
+  const auto it = GENERATE(values<PassCase>({
+    { "placed", {}, 1 },
+    { "confirmed with its request", { MakePacket(50, 100) }, 1 },
+    { "answered", { MakePacket(50, 100), MakePacket(1050, 0) }, 0 },
+    { "ended without an answer", { MakePacket(50, 100, true) }, 0 },
+    { "a second request on the flow",
+      { MakePacket(50, 100), MakePacket(1050, 0), MakePacket(1050, 100) },
+      1 },
+    { "its request comes again",
+      { MakePacket(50, 100), MakePacket(50, 100), MakePacket(50, 100) },
+      1 },
+    { "acknowledgements wrap",
+      { MakePacket(0xFFFFFFF0, 100), MakePacket(0x10, 0) },
+      0 },
+    { "an old acknowledgement",
+      { MakePacket(500, 100), MakePacket(400, 0) },
+      1 },
+  }));
+  INFO(it.mName);
+  Ledger ledger;
+  ledger.Place(kStart, kKey, kUpstream);
+  TimePoint now = kStart;
+  for (const Packet& packet : it.mPackets) {
+    ledger.Pass(now += 10ms, packet, kUpstream);
+  }
+  CHECK(ledger.Held(kUpstream) == it.mHeld);
+}
+
+TEST_CASE("Flows that move here are counted when a request passes",
+          "[flow][ledger]")
+{
+  Ledger ledger;
+  ledger.Pass(kStart, MakePacket(50, 0), kUpstream);
+  CHECK(ledger.Held(kUpstream) == 0);
+  ledger.Pass(kStart, MakePacket(50, 100), kUpstream);
+  CHECK(ledger.Held(kUpstream) == 1);
+  ledger.Pass(kStart, MakePacket(50, 100), kUpstream);
+  CHECK(ledger.Held(kUpstream) == 1);
+}
+
+TEST_CASE("Silent flows are forgotten", "[flow][ledger]")
+{
+  Ledger ledger;
+  ledger.Place(kStart, kKey, kUpstream);
+  CHECK_FALSE(ledger.Expire(kStart + ledger.BusySilence() - 1ms));
+  CHECK(ledger.Held(kUpstream) == 1);
+  CHECK(ledger.Expire(kStart + ledger.BusySilence()));
+  CHECK(ledger.Held(kUpstream) == 0);
+  CHECK(ledger.Flows() == 0);
+}
+
+TEST_CASE("Times of handshake and answer are told once", "[flow][ledger]")
+{
+  Ledger ledger;
+  ledger.Place(kStart, kKey, kUpstream);
+  const auto first = ledger.Pass(kStart + 8ms, MakePacket(50, 100), kUpstream);
+  REQUIRE(first.mHandshake);
+  CHECK(*first.mHandshake == 8ms);
+  CHECK_FALSE(first.mAnswer);
+  const auto second =
+    ledger.Pass(kStart + 70ms, MakePacket(1050, 0), kUpstream);
+  CHECK_FALSE(second.mHandshake);
+  REQUIRE(second.mAnswer);
+  CHECK(*second.mAnswer == 62ms);
+  CHECK(second.mReleased);
+  const auto third = ledger.Pass(kStart + 80ms, MakePacket(2050, 0), kUpstream);
+  CHECK_FALSE(third.mAnswer);
+}
+
+TEST_CASE("Nothing is left when an upstream's flows are dropped",
+          "[flow][ledger]")
+{
+  Ledger ledger;
+  for (uint16_t i = 0; i < 50; ++i) {
+    ledger.Place(
+      kStart, { { 1, i }, { 9, 80 } }, static_cast<Cookie>(i % 2 + 1));
+  }
+  ledger.Drop(1);
+  CHECK(ledger.Held(1) == 0);
+  CHECK(ledger.Held(2) == 25);
+  CHECK(ledger.Flows() == 25);
+}
--- /dev/null
+++ b/tests/unit/FlowReplicaTest.cpp
@@ -0,0 +1,218 @@
+#include <catch2/catch.hpp>
+
+#include "foxtail/flow/Directory.h"
+
+using namespace foxtail;
+using namespace foxtail::flow;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint kStart{ 100s };
+
+UpstreamRecord
+MakeRecord(const std::string& aId,
+           Revision aRevision,
+           UpstreamState aState = UpstreamState::Ready,
+           uint64_t aInstance = 0x10)
+{
+  UpstreamRecord record;
+  record.mId = aId;
+  record.mRevision = aRevision;
+  record.mState = aState;
+  record.mInstance = aInstance;
+  record.mAddress = { 1, 80 };
+  record.mService = "s";
+  record.mDomain = "a";
+  return record;
+}
+
+Configuration
+MakeConfiguration(uint64_t aVersion, Revision aRevision)
+{
+  Configuration configuration;
+  configuration.mVersion = aVersion;
+  configuration.mRevision = aRevision;
+  Route route;
+  route.mService = { 9, static_cast<uint16_t>(aVersion) };
+  route.mTargets = { { "s", 1 } };
+  configuration.mRoutes = { route };
+  return configuration;
+}
+
+ReplicaUpdate
+Whole()
+{
+  ReplicaUpdate update;
+  update.mIsComplete = true;
+  update.mConfirmed = 10;
+  update.mUpstreams = { MakeRecord("x", 5) };
+  update.mConfiguration = MakeConfiguration(3, 6);
+  return update;
+}
+
+ReplicaUpdate
+Changes(Revision aConfirmed,
+        std::vector<UpstreamRecord> aUpstreams,
+        std::vector<RemovedRecord> aRemoved = {})
+{
+  ReplicaUpdate update;
+  update.mConfirmed = aConfirmed;
+  update.mUpstreams = std::move(aUpstreams);
+  update.mRemoved = std::move(aRemoved);
+  return update;
+}
+
+struct OrderCase
+{
+  const char* mName;
+  std::vector<ReplicaUpdate> mUpdates;
+  bool mTakesNewFlows;
+};
+
+} // namespace
+
+TEST_CASE("The newest revision of a record holds, in whatever order it comes",
+          "[flow][replica]")
+{
+  const auto it = GENERATE(values<OrderCase>({
+    { "nothing else", {}, true },
+    { "draining",
+      { Changes(11, { MakeRecord("x", 11, UpstreamState::Draining) }) },
+      false },
+    { "an older draining that comes late",
+      { Changes(9, { MakeRecord("x", 4, UpstreamState::Draining) }) },
+      true },
+    { "removed after it drained",
+      { Changes(12,
+                { MakeRecord("x", 11, UpstreamState::Draining) },
+                { { "x", 12 } }) },
+      false },
+    { "removed and back in one update",
+      { Changes(14, { MakeRecord("x", 13) }, { { "x", 12 } }) },
+      true },
+    { "an older removal that comes late",
+      { Changes(14, { MakeRecord("x", 14) }), Changes(9, {}, { { "x", 9 } }) },
+      true },
+    { "malformed now",
+      { Changes(11, { MakeRecord("x", 11, UpstreamState::Unusable) }) },
+      false },
+    { "malformed and well again",
+      { Changes(11, { MakeRecord("x", 11, UpstreamState::Unusable) }),
+        Changes(12, { MakeRecord("x", 12) }) },
+      true },
+  }));
+  INFO(it.mName);
+  Directory directory;
+  directory.Apply(kStart, Whole(), "store");
+  for (const ReplicaUpdate& update : it.mUpdates) {
+    directory.Apply(kStart + 10s, update, "store");
+  }
+  const Upstream* upstream = directory.FindUpstream(CookieOf(0x10));
+  REQUIRE(upstream != nullptr);
+  // Later than a record may be back after it went without a notice.
+  CHECK(Directory::TakesNewFlows(*upstream, kStart + 20s) == it.mTakesNewFlows);
+}
+
+TEST_CASE("An upstream that goes without a notice is used a little longer",
+          "[flow][replica]")
+{
+  Directory directory;
+  directory.Apply(kStart, Whole(), "store");
+  directory.Apply(kStart, Changes(11, {}, { { "x", 11 } }), "store");
+  const Upstream* upstream = directory.FindUpstream(CookieOf(0x10));
+  REQUIRE(upstream != nullptr);
+  CHECK(Directory::TakesNewFlows(*upstream, kStart + 2s));
+  CHECK_FALSE(
+    Directory::TakesNewFlows(*upstream, kStart + Directory::kReturnTime));
+  // Its flows are forwarded for as long as they can live.
+  directory.Expire(kStart + 60s);
+  CHECK(directory.FindUpstream(CookieOf(0x10)) != nullptr);
+  directory.Expire(kStart + Directory::kKeepGone);
+  CHECK(directory.FindUpstream(CookieOf(0x10)) == nullptr);
+}
+
+TEST_CASE("A configuration never goes back", "[flow][replica]")
+{
+  Directory directory;
+  directory.Apply(kStart, Whole(), "store");
+  ReplicaUpdate newer = Changes(20, {});
+  newer.mConfiguration = MakeConfiguration(5, 20);
+  directory.Apply(kStart, newer, "peer 1");
+  ReplicaUpdate older = Whole();
+  older.mConfirmed = 30;
+  older.mConfiguration = MakeConfiguration(4, 19);
+  const auto events = directory.Apply(kStart, older, "peer 2");
+  CHECK(directory.CurrentConfiguration()->mVersion == 5);
+  CHECK(directory.FindRoute({ 9, 5 }) != nullptr);
+  CHECK(directory.FindRoute({ 9, 4 }) == nullptr);
+  CHECK(std::any_of(events.begin(), events.end(), [](const Event& e) {
+    return e.mId == 2003;
+  }));
+}
+
+TEST_CASE("What a whole listing doesn't name is gone", "[flow][replica]")
+{
+  Directory directory;
+  directory.Apply(kStart, Whole(), "store");
+  ReplicaUpdate listing = Whole();
+  listing.mConfirmed = 40;
+  listing.mUpstreams = { MakeRecord("y", 30, UpstreamState::Ready, 0x20) };
+  directory.Apply(kStart, listing, "store");
+  CHECK(directory.FindUpstream(CookieOf(0x10))->mIsGone);
+  CHECK_FALSE(directory.FindUpstream(CookieOf(0x20))->mIsGone);
+}
+
+TEST_CASE("Two upstreams with one cookie: the second gets no new flows",
+          "[flow][replica]")
+{
+  Directory directory;
+  ReplicaUpdate update = Whole();
+  update.mUpstreams = { MakeRecord("x", 5), MakeRecord("y", 6) };
+  directory.Apply(kStart, update, "store");
+  CHECK(directory.UpstreamsOf("s").size() == 1);
+  CHECK(directory.FindUpstream(CookieOf(0x10))->mRecord.mId == "x");
+  CHECK_FALSE(Directory::TakesNewFlows(directory.Upstreams().at("y"), kStart));
+}
+
+TEST_CASE("Cookies are never zero and wide instances fold", "[flow][replica]")
+{
+  const auto instance =
+    GENERATE(values<uint64_t>({ 0, 1, 0xFFFFFFFF, 0x100000000, 0x51385b0168 }));
+  CHECK(CookieOf(instance) != 0);
+  if (instance != 0 && instance <= 0xFFFFFFFF) {
+    CHECK(CookieOf(instance) == instance);
+  }
+}
+
+TEST_CASE("A peer that follows has the same replica", "[flow][replica]")
+{
+  Directory leader;
+  Directory follower;
+  leader.Apply(kStart, Whole(), "store");
+  follower.Apply(kStart, leader.Since(kStart, 0), "peer");
+  CHECK(follower.IsUsable());
+  leader.Apply(kStart,
+               Changes(15,
+                       { MakeRecord("y", 12, UpstreamState::Ready, 0x20) },
+                       { { "x", 15 } }),
+               "store");
+  const ReplicaUpdate update = leader.Since(kStart, follower.Confirmed());
+  CHECK_FALSE(update.mIsComplete);
+  follower.Apply(kStart, update, "peer");
+  CHECK(follower.Confirmed() == 15);
+  CHECK(follower.FindUpstream(CookieOf(0x10))->mIsGone);
+  CHECK_FALSE(follower.FindUpstream(CookieOf(0x20))->mIsGone);
+}
+
+TEST_CASE("A peer that may have missed a removal gets everything",
+          "[flow][replica]")
+{
+  Directory leader;
+  leader.Apply(kStart, Whole(), "store");
+  leader.Apply(kStart, Changes(15, {}, { { "x", 15 } }), "store");
+  leader.Expire(kStart + Directory::kKeepGone);
+  CHECK(leader.Since(kStart, 12).mIsComplete);
+  const Directory& known = leader;
+  CHECK(known.Since(kStart, 15).mUpstreams.empty());
+}
--- /dev/null
+++ b/tests/unit/LogBudgetTest.cpp
@@ -0,0 +1,57 @@
+#include <catch2/catch.hpp>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include "foxtail/daemon/Log.h"
+#include "foxtail/daemon/LogBudget.h"
+
+using namespace foxtail;
+using namespace foxtail::daemon;
+using namespace std::chrono_literals;
+
+TEST_CASE("Each event has a budget of lines a second", "[daemon][log]")
+{
+  const TimePoint start{ 100s };
+  LogBudget budget;
+  for (uint32_t i = 0; i < LogBudget::kLinesPerSecond; ++i) {
+    REQUIRE(budget.Take(start, 5101));
+  }
+  CHECK_FALSE(budget.Take(start + 10ms, 5101));
+  CHECK_FALSE(budget.Take(start + 20ms, 5101));
+  // Another event is not starved.
+  CHECK(budget.Take(start + 30ms, 5102));
+  CHECK_FALSE(budget.Report(start + 500ms));
+  const auto report = budget.Report(start + 1s);
+  REQUIRE(report);
+  CHECK(report->mDetail == "unwritten=0 event_5101=2");
+  CHECK_FALSE(budget.Report(start + 1s));
+  CHECK(budget.Take(start + 1s, 5101));
+}
+
+TEST_CASE("A reader of the log that has stopped blocks nobody", "[daemon][log]")
+{
+  int ends[2];
+  REQUIRE(pipe(ends) == 0);
+  const int saved = dup(STDOUT_FILENO);
+  dup2(ends[1], STDOUT_FILENO);
+  StartLog("test", "vm-1");
+  // Far more than the pipe holds; the test's time limit is the check.
+  for (int i = 0; i < 200; ++i) {
+    LogEvent({ 1001, std::string(2000, 'x') });
+  }
+  dup2(saved, STDOUT_FILENO);
+  close(saved);
+  close(ends[1]);
+  fcntl(ends[0], F_SETFL, O_NONBLOCK);
+  std::string text(1 << 20, '\0');
+  size_t got = 0;
+  for (ssize_t n = 1; n > 0 && got<text.size(); got += n> 0 ? n : 0) {
+    n = read(ends[0], text.data() + got, text.size() - got);
+  }
+  close(ends[0]);
+  CHECK(got > 2000);
+  CHECK(got < 400000);
+  // Whole lines, or lines cut at their end.
+  CHECK(text[got - 1] == '\n');
+}
