--- /dev/null
+++ b/benchmarks/FlowBenchmark.cpp
@@ -0,0 +1,108 @@
+// Costs of the flow path: a packet of an open flow against a bare copy, and the
+// broker's decision at several numbers of upstreams.
+
+#include <benchmark/benchmark.h>
+
+#include "foxtail/flow/FlowBalancer.h"
+
+namespace foxtail {
+
+namespace {
+
+using namespace flow;
+
+const TimePoint kStart{ seconds(100) };
+
+ReplicaUpdate
+MakeUpdate(size_t aUpstreams)
+{
+  ReplicaUpdate update;
+  update.mIsComplete = true;
+  update.mConfirmed = 1;
+  for (size_t i = 0; i < aUpstreams; ++i) {
+    UpstreamRecord record;
+    record.mId = "u" + std::to_string(i);
+    record.mRevision = 1;
+    record.mState = UpstreamState::Ready;
+    record.mInstance = i + 1;
+    record.mService = "s";
+    record.mSlots = 3;
+    update.mUpstreams.push_back(record);
+  }
+  Configuration configuration;
+  configuration.mRoutes = { { "r",
+                              { 9, 80 },
+                              { { "s", 1 } },
+                              true,
+                              seconds(1),
+                              milliseconds(250),
+                              1 } };
+  update.mConfiguration = configuration;
+  return update;
+}
+
+// What any forwarder does: copy the packet for its destination.
+void
+BareCopy(benchmark::State& aState)
+{
+  const std::string bytes(136, 'x');
+  for (auto _ : aState) {
+    ForwardPacket out{ { 1, 80 }, 1, 1, bytes };
+    benchmark::DoNotOptimize(out);
+  }
+  aState.SetItemsProcessed(aState.iterations());
+}
+BENCHMARK(BareCopy);
+
+void
+ForwardOpenFlow(benchmark::State& aState)
+{
+  FlowBalancerSettings settings;
+  settings.mSelf = { 1, 1, 0, "a", false };
+  FlowBalancer balancer(kStart, settings);
+  balancer.OnRead(
+    kStart, MakeUpdate(static_cast<size_t>(aState.range(0))), "store");
+  const std::string bytes(136, 'x');
+  Packet packet;
+  packet.mKey = { { 500, 1024 }, { 9, 80 } };
+  packet.mAcknowledges = true;
+  packet.mCookie = 1;
+  packet.mLength = 100;
+  packet.mBytes = bytes;
+  const TimePoint now = kStart + seconds(1);
+  for (auto _ : aState) {
+    auto actions = balancer.OnPacket(now, packet);
+    benchmark::DoNotOptimize(actions);
+  }
+  aState.SetItemsProcessed(aState.iterations());
+}
+BENCHMARK(ForwardOpenFlow)->Arg(19)->Arg(150)->Arg(6100);
+
+void
+BrokerDecision(benchmark::State& aState)
+{
+  Directory directory;
+  directory.Apply(
+    kStart, MakeUpdate(static_cast<size_t>(aState.range(0))), "store");
+  SlotBroker broker(1);
+  SlotReport report;
+  report.mIncarnation = 1;
+  report.mDomain = "a";
+  TimePoint now = kStart;
+  for (auto _ : aState) {
+    now += milliseconds(1);
+    report.mGrantsSeen = report.mSequence;
+    ++report.mSequence;
+    SlotRequest request;
+    request.mId = report.mSequence;
+    request.mObjective = milliseconds(250);
+    report.mRequests = { request };
+    auto replies = broker.Take(now, 1, report, "s", directory, 0);
+    benchmark::DoNotOptimize(replies);
+  }
+}
+BENCHMARK(BrokerDecision)->Arg(19)->Arg(150)->Arg(6100);
+
+} // namespace
+
+} // namespace foxtail
--- /dev/null
+++ b/tests/platform/NodeProcessTest.cpp
@@ -0,0 +1,203 @@
+#include <catch2/catch.hpp>
+
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "PacketHead.h"
+#include "StandInStore.h"
+#include "foxtail/net/UdpSocket.h"
+
+using namespace foxtail;
+using namespace foxtail::platform;
+using namespace foxtail::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr uint32_t kNodeIp = 0x7F000002;
+constexpr uint32_t kCallerIp = 0x7F000003;
+const Address kRoute{ 0xC6120001, 80 };
+
+// A port that was free a moment ago on this address.
+uint16_t
+FreePort(uint32_t aIp)
+{
+  return net::UdpSocket({ aIp, 0 }).LocalAddress().mPort;
+}
+
+// foxtail-node as a process of its own, with the store's stand-in.
+class NodeProcess
+{
+public:
+  explicit NodeProcess(const Address& aStore)
+    : mIngress{ kNodeIp, FreePort(kNodeIp) }
+    , mReadiness{ kNodeIp, FreePort(kNodeIp) }
+  {
+    ::close(::mkstemp(mSettings.data()));
+    ::close(::mkstemp(mLog.data()));
+    const uint16_t peers = FreePort(kNodeIp);
+    std::ofstream(mSettings)
+      << json({ { "node", "n1" },
+                { "zone", "a" },
+                { "listen",
+                  { { "datagram_addr", mIngress.ToString() },
+                    { "ready_addr", mReadiness.ToString() } } },
+                { "internal_ports", { peers, peers + 2 } },
+                { "seeds", json::array() },
+                { "platform", { { "address", aStore.ToString() } } },
+                { "bounds", { { "grace_s", 6 } } } });
+    mPid = ::fork();
+    if (mPid == 0) {
+      ::setenv("FOXTAILCOVE_NODE_FILE", mSettings.c_str(), 1);
+      std::freopen(mLog.c_str(), "w", stdout);
+      ::execl(FOXTAIL_BIN_DIR "/foxtail-node", "foxtail-node", nullptr);
+      ::_exit(127);
+    }
+  }
+  ~NodeProcess()
+  {
+    if (mPid > 0) {
+      ::kill(mPid, SIGKILL);
+      ::waitpid(mPid, nullptr, 0);
+    }
+    ::unlink(mSettings.c_str());
+    ::unlink(mLog.c_str());
+  }
+  NodeProcess(const NodeProcess&) = delete;
+  NodeProcess& operator=(const NodeProcess&) = delete;
+
+  const Address& Ingress() const { return mIngress; }
+
+  bool IsReady() const
+  {
+    httplib::Client client(mReadiness.IpString(), mReadiness.mPort);
+    const auto answer = client.Get("/v1/ready");
+    return answer && answer->status == 200;
+  }
+  bool BecomesReady() const
+  {
+    for (int i = 0; i < 500; ++i) {
+      if (IsReady()) {
+        return true;
+      }
+      std::this_thread::sleep_for(20ms);
+    }
+    return false;
+  }
+  void Signal(int aSignal) const { ::kill(mPid, aSignal); }
+
+  // The exit code; -1 when it does not end within aTime.
+  int WaitForExit(milliseconds aTime)
+  {
+    const auto end = std::chrono::steady_clock::now() + aTime;
+    while (std::chrono::steady_clock::now() < end) {
+      int status = 0;
+      if (::waitpid(mPid, &status, WNOHANG) == mPid) {
+        mPid = 0;
+        return WIFEXITED(status) ? WEXITSTATUS(status) : -2;
+      }
+      std::this_thread::sleep_for(20ms);
+    }
+    return -1;
+  }
+  size_t LinesOf(int aEvent) const
+  {
+    std::ifstream in(mLog);
+    size_t n = 0;
+    for (std::string line; std::getline(in, line);) {
+      n += json::parse(line).at("event") == aEvent ? 1 : 0;
+    }
+    return n;
+  }
+
+private:
+  std::string mSettings = "/tmp/foxtail-node-XXXXXX";
+  std::string mLog = "/tmp/foxtail-node-log-XXXXXX";
+  Address mIngress;
+  Address mReadiness;
+  pid_t mPid = 0;
+};
+
+std::string
+CallerPacket(uint16_t aPort, uint8_t aFlags, uint32_t aCookie)
+{
+  std::string bytes = EncodeReset({ kRoute, { kCallerIp, aPort } });
+  bytes[14] = static_cast<char>(aFlags);
+  for (size_t i = 0; i < 4; ++i) {
+    bytes[28 + i] = static_cast<char>(aCookie >> (24 - 8 * i));
+  }
+  return bytes;
+}
+
+// The next datagram; empty when none comes.
+std::string
+Next(net::UdpSocket& aSocket)
+{
+  if (!aSocket.Wait(5s) || aSocket.Receive() == 0) {
+    return "";
+  }
+  return std::string(aSocket.At(0).mBytes);
+}
+
+} // namespace
+
+TEST_CASE("A node serves packets, refuses what has no route, and leaves",
+          "[platform][process]")
+{
+  StandInStore store;
+  net::UdpSocket upstream({ 0x7F000004, 0 });
+  net::UdpSocket caller({ kCallerIp, 0 });
+  NodeProcess node(store.Where());
+  std::this_thread::sleep_for(300ms);
+  CHECK_FALSE(node.IsReady());
+  store.Put("op/config", kConfiguration);
+  store.Put("servers/i-7f3a91c2",
+            Entry("ready", upstream.LocalAddress().ToString()));
+  REQUIRE(node.BecomesReady());
+
+  SECTION("an opening packet and one that repeats its cookie")
+  {
+    caller.Queue(node.Ingress(), CallerPacket(40001, 128, 0));
+    caller.Flush();
+    const std::string opening = Next(upstream);
+    REQUIRE(opening.size() == 8 + kHeadBytes);
+    CHECK(opening.substr(4, 4) == "\x7f\x3a\x91\xc2");
+    const auto packet = DecodePacket(opening.substr(8));
+    REQUIRE(packet);
+    CHECK(packet->mCookie == 0x7f3a91c2);
+    caller.Queue(node.Ingress(), CallerPacket(40001, 32, packet->mCookie));
+    caller.Flush();
+    CHECK(Next(upstream).size() == 8 + kHeadBytes);
+  }
+  SECTION("a cookie that was never given reaches nobody")
+  {
+    caller.Queue(node.Ingress(), CallerPacket(40001, 32, 0x12345678));
+    caller.Queue(node.Ingress(), "noise");
+    caller.Queue(node.Ingress(), CallerPacket(40002, 128, 0));
+    caller.Flush();
+    const auto packet = DecodePacket(Next(upstream).substr(8));
+    REQUIRE(packet);
+    CHECK(packet->mKey.mCaller.mPort == 40002);
+    CHECK(node.LinesOf(6101) == 1);
+    CHECK(node.LinesOf(6001) == 1);
+  }
+  SECTION("a stop signal, also twice: it leaves the rotation and ends in time")
+  {
+    node.Signal(SIGHUP);
+    node.Signal(SIGTERM);
+    std::this_thread::sleep_for(200ms);
+    CHECK_FALSE(node.IsReady());
+    node.Signal(SIGTERM);
+    // It goes on serving meanwhile.
+    caller.Queue(node.Ingress(), CallerPacket(40003, 128, 0));
+    caller.Flush();
+    CHECK_FALSE(Next(upstream).empty());
+    CHECK(node.WaitForExit(6s) == 0);
+    CHECK(node.LinesOf(1002) == 1);
+    CHECK(node.LinesOf(1003) == 1);
+    CHECK(node.LinesOf(1102) == 1);
+  }
+}
--- a/tests/platform/StoreClientTest.cpp
+++ b/tests/platform/StoreClientTest.cpp
@@ -1,172 +1,20 @@
 #include <catch2/catch.hpp>
 
 #include <atomic>
-#include <map>
-#include <mutex>
 #include <thread>
 
-#include "absl/strings/escaping.h"
-#include "httplib.h"
-#include "nlohmann/json.hpp"
-
 #include "Reader.h"
+#include "StandInStore.h"
 #include "StoreClient.h"
 #include "foxtail/core/Error.h"
 
 using namespace foxtail;
 using namespace foxtail::platform;
+using namespace foxtail::test;
 using namespace std::chrono_literals;
-using nlohmann::json;
 
 namespace {
 
-// A stand-in of the store that speaks its published protocol.
-class StandInStore
-{
-public:
-  StandInStore()
-  {
-    mServer.Get("/v1/kv-range", [this](const auto& q, auto& r) { List(q, r); });
-    mServer.Get("/v1/kv-watch",
-                [this](const auto& q, auto& r) { Watch(q, r); });
-    mAddress = { 0x7F000001,
-                 static_cast<uint16_t>(mServer.bind_to_any_port("127.0.0.1")) };
-    mThread = std::thread([this] { mServer.listen_after_bind(); });
-    mServer.WaitUntilRunning();
-  }
-  ~StandInStore()
-  {
-    mServer.stop();
-    mThread.join();
-  }
-
-  const Address& Where() const { return mAddress; }
-
-  void Put(const std::string& aKey, const std::string& aValue)
-  {
-    const std::lock_guard<std::mutex> lock(mMutex);
-    const json item = { { "key", aKey },
-                        { "value", absl::Base64Escape(aValue) },
-                        { "revision", ++mRevision },
-                        { "created_rev", mRevision },
-                        { "lease", 0 } };
-    mItems[aKey] = item;
-    mEvents.push_back(item);
-  }
-  void Remove(const std::string& aKey)
-  {
-    const std::lock_guard<std::mutex> lock(mMutex);
-    mItems.erase(aKey);
-    mEvents.push_back(
-      { { "key", aKey }, { "revision", ++mRevision }, { "removed", true } });
-  }
-  void ForgetHistory()
-  {
-    const std::lock_guard<std::mutex> lock(mMutex);
-    mEvents.clear();
-    mFirstEvent = mRevision;
-  }
-
-  // What the next calls get in place of an answer.
-  std::atomic<int> mRefusals{ 0 };
-  std::atomic<int> mStatus{ 503 };
-  std::atomic<bool> mIsGarbled{ false };
-  std::atomic<int> mSilentMs{ 0 };
-  std::atomic<int> mCalls{ 0 };
-
-private:
-  class Server : public httplib::Server
-  {
-  public:
-    void WaitUntilRunning()
-    {
-      while (!is_running()) {
-        std::this_thread::sleep_for(1ms);
-      }
-    }
-  };
-
-  bool Misbehave(httplib::Response& aResponse)
-  {
-    ++mCalls;
-    std::this_thread::sleep_for(milliseconds(mSilentMs));
-    if (mRefusals > 0) {
-      --mRefusals;
-      aResponse.status = mStatus;
-      return true;
-    }
-    if (mIsGarbled) {
-      aResponse.set_content("{\"items\": [", "application/json");
-      return true;
-    }
-    return false;
-  }
-  void List(const httplib::Request& aRequest, httplib::Response& aResponse)
-  {
-    if (Misbehave(aResponse)) {
-      return;
-    }
-    const std::lock_guard<std::mutex> lock(mMutex);
-    // Pages of two.
-    json items = json::array();
-    auto it = mItems.upper_bound(aRequest.get_param_value("after"));
-    for (; it != mItems.end() && items.size() < 2; ++it) {
-      items.push_back(it->second);
-    }
-    const json answer = { { "items", items },
-                          { "has_more", it != mItems.end() },
-                          { "current_rev", mRevision } };
-    aResponse.set_content(answer.dump(), "application/json");
-  }
-  void Watch(const httplib::Request& aRequest, httplib::Response& aResponse)
-  {
-    if (Misbehave(aResponse)) {
-      return;
-    }
-    const std::lock_guard<std::mutex> lock(mMutex);
-    const uint64_t after = std::stoull(aRequest.get_param_value("after"));
-    if (after < mFirstEvent) {
-      aResponse.status = 410;
-      return;
-    }
-    json events = json::array();
-    for (const json& it : mEvents) {
-      if (it["revision"].get<uint64_t>() > after) {
-        events.push_back(it);
-      }
-    }
-    const json answer = { { "events", events }, { "current_rev", mRevision } };
-    aResponse.set_content(answer.dump(), "application/json");
-  }
-
-  Server mServer;
-  Address mAddress;
-  std::thread mThread;
-  std::mutex mMutex;
-  std::map<std::string, json> mItems;
-  std::vector<json> mEvents;
-  uint64_t mRevision = 100;
-  uint64_t mFirstEvent = 100;
-};
-
-std::string
-Entry(const std::string& aState = "ready")
-{
-  return json({ { "service", "s" },
-                { "address", "10.0.0.1:80" },
-                { "zone", "a" },
-                { "version", "v1" },
-                { "slots", 3 },
-                { "state", aState },
-                { "cold_remaining_ms", 0 },
-                { "sequence", 1 } })
-    .dump();
-}
-
-const char* const kConfiguration =
-  R"({"version":1,"routes":[{"name":"r","hostname":"198.18.0.1",)"
-  R"("prefix":"/80/","service":"s"}]})";
-
 int
 ErrorOf(const std::function<void()>& aCall)
 {
