Make large fleets find one another and raise no false alarm

Now a newcomer is told of 32 members at once, half of the names in a beat are fresh ones, and the silence allowed grows with the fleet (brokers that die are noticed by those who ask). New test: 120 members know one another within 6 s, 150 raise no alarm in 20 s; both failed before.

--- a/include/foxtail/flow/Fleet.h
+++ b/include/foxtail/flow/Fleet.h
@@ -34,17 +34,22 @@
   // Other members named in one beat.
   static constexpr size_t kFewRecords = 2;
   static constexpr size_t kGossipRecords = 8;
+  // The same for one that is heard for the first time; they fit a datagram.
+  static constexpr size_t kWelcomeRecords = 32;
   // A peer that all beats reach is taken for dead after this silence: three
   // beats may be lost or late.
   static constexpr milliseconds kDirectSilence{ 350 };
-  // The same when pulses come by way of others.
+  // The same when pulses come by way of others: each member's comes anew about
+  // every seven milliseconds for each member of the fleet, and eight of them
+  // may be missed. A broker that dies is noticed sooner, by those who ask it.
   static constexpr milliseconds kGossipSilence{ 4000 };
+  static constexpr milliseconds kGossipSilencePerMember{ 100 };
   // First time for which a broker that doesn't answer is left out; doubles
   // with each time up to kLongestSuspicion.
   static constexpr milliseconds kSuspicion{ 1000 };
   static constexpr milliseconds kLongestSuspicion{ 8000 };
   // Members that were silent for this long are forgotten.
-  static constexpr seconds kForget{ 30 };
+  static constexpr seconds kForget{ 120 };
 
   Fleet(MemberRecord aSelf, std::vector<VmIp> aSeeds, uint64_t aSeed);
 
@@ -108,11 +113,14 @@
   bool AreFew() const { return mMembers.size() <= kFewPeers; }
   bool IsHeard(TimePoint aNow, const Member& aMember) const;
   std::vector<VmIp> PickTargets();
+  std::vector<MemberRecord> PickRecords(size_t aCount);
 
   MemberRecord mSelf;
   std::vector<VmIp> mSeeds;
   std::mt19937_64 mRandom;
   std::map<VmIp, Member> mMembers;
+  // Heard for the first time since the last beat.
+  std::vector<VmIp> mNewcomers;
   TimePoint mNextBeat;
   TimePoint mLastBeat;
   TimePoint mChangedAt;
--- a/src/flow/Fleet.cpp
+++ b/src/flow/Fleet.cpp
@@ -104,6 +104,9 @@
     return events;
   }
   if (Merge(aNow, aBeat.mSelf)) {
+    if (!AreFew()) {
+      mNewcomers.push_back(aFrom);
+    }
     events.push_back(
       { 3101, absl::StrCat(Describe(aBeat.mSelf), " heard=directly") });
   }
@@ -143,6 +146,31 @@
   return targets;
 }
 
+std::vector<MemberRecord>
+Fleet::PickRecords(size_t aCount)
+{
+  std::vector<const Member*> alive;
+  for (const auto& [ip, member] : mMembers) {
+    if (member.mWasAlive) {
+      alive.push_back(&member);
+    }
+  }
+  // Half of them any, so that all are named sometime; the other half fresh.
+  std::shuffle(alive.begin(), alive.end(), mRandom);
+  const size_t count = std::min(alive.size(), aCount);
+  const auto any = alive.begin() + static_cast<ptrdiff_t>(count / 2);
+  std::partial_sort(
+    any,
+    alive.begin() + static_cast<ptrdiff_t>(count),
+    alive.end(),
+    [](const Member* a, const Member* b) { return a->mHeard > b->mHeard; });
+  std::vector<MemberRecord> records;
+  for (size_t i = 0; i < count; ++i) {
+    records.push_back(alive[i]->mRecord);
+  }
+  return records;
+}
+
 std::optional<Fleet::Round>
 Fleet::Due(TimePoint aNow)
 {
@@ -155,16 +183,15 @@
   Round round;
   round.mTargets = PickTargets();
   round.mBeat.mSelf = mSelf;
-  std::vector<MemberRecord> others;
-  for (const auto& [ip, member] : mMembers) {
-    if (member.mWasAlive) {
-      others.push_back(member.mRecord);
-    }
+  size_t records = AreFew() ? kFewRecords : kGossipRecords;
+  if (!mNewcomers.empty()) {
+    // They know few; tell them of many at once.
+    round.mTargets = std::move(mNewcomers);
+    mNewcomers.clear();
+    records = kWelcomeRecords;
+    mNextBeat = aNow + kBeatGap;
   }
-  std::shuffle(others.begin(), others.end(), mRandom);
-  others.resize(
-    std::min(others.size(), AreFew() ? kFewRecords : kGossipRecords));
-  round.mBeat.mOthers = std::move(others);
+  round.mBeat.mOthers = PickRecords(records);
   return round;
 }
 
@@ -172,7 +199,8 @@
 Fleet::IsHeard(TimePoint aNow, const Member& aMember) const
 {
   const Duration limit =
-    AreFew() ? Duration(kDirectSilence) : Duration(kGossipSilence);
+    AreFew() ? Duration(kDirectSilence)
+             : kGossipSilence + mMembers.size() * kGossipSilencePerMember;
   return aNow - aMember.mHeard < limit;
 }
 
--- /dev/null
+++ b/tests/unit/FleetTest.cpp
@@ -0,0 +1,148 @@
+#include <catch2/catch.hpp>
+
+#include <map>
+
+#include "foxtail/flow/Fleet.h"
+
+using namespace foxtail;
+using namespace foxtail::flow;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint kStart{ 100s };
+
+Beat
+MakeBeat(VmIp aIp, uint64_t aPulse, bool aIsReady = true, uint64_t aLife = 1)
+{
+  Beat beat;
+  beat.mSelf = { aIp, aLife, aPulse, aIp % 2 == 0 ? "even" : "odd", aIsReady };
+  return beat;
+}
+
+Fleet
+MakeFleet(VmIp aSelf, std::vector<VmIp> aSeeds)
+{
+  return Fleet(
+    { aSelf, 1, 0, aSelf % 2 == 0 ? "even" : "odd", true }, aSeeds, aSelf);
+}
+
+// Fleets that beat to one another without loss; the time between two steps is
+// one beat of a few.
+class Mesh
+{
+public:
+  Mesh(size_t aCount, const std::vector<VmIp>& aSeeds)
+  {
+    for (size_t i = 1; i <= aCount; ++i) {
+      const auto ip = static_cast<VmIp>(i);
+      mFleets.emplace(ip, MakeFleet(ip, aSeeds));
+    }
+  }
+  void Run(milliseconds aTime)
+  {
+    for (const TimePoint end = mNow + aTime; mNow < end; mNow += 50ms) {
+      for (auto& [ip, fleet] : mFleets) {
+        mFalseAlarms += fleet.Expire(mNow).size();
+        if (const auto round = fleet.Due(mNow)) {
+          mMostTargets = std::max(mMostTargets, round->mTargets.size());
+          for (const VmIp it : round->mTargets) {
+            const auto to = mFleets.find(it);
+            if (to != mFleets.end()) {
+              to->second.Hear(mNow, ip, round->mBeat);
+            }
+          }
+        }
+      }
+    }
+  }
+
+  std::map<VmIp, Fleet> mFleets;
+  TimePoint mNow = kStart;
+  size_t mFalseAlarms = 0;
+  size_t mMostTargets = 0;
+};
+
+} // namespace
+
+TEST_CASE("Balancers find one another by any living seed", "[flow][fleet]")
+{
+  const size_t count = GENERATE(7, 30, 120);
+  // The first seed does not exist.
+  Mesh mesh(count, { 9999, 1, 2 });
+  // What a large deployment allows for catching up.
+  mesh.Run(6s);
+  for (const auto& [ip, fleet] : mesh.mFleets) {
+    CHECK(fleet.AliveCount(mesh.mNow) == count);
+    CHECK(fleet.BrokerOf(mesh.mNow, 77) ==
+          mesh.mFleets.at(1).BrokerOf(mesh.mNow, 77));
+  }
+}
+
+TEST_CASE("A large fleet raises no false alarm and beats to few",
+          "[flow][fleet]")
+{
+  Mesh mesh(150, { 1, 2, 3 });
+  mesh.Run(6s);
+  mesh.mMostTargets = 0;
+  mesh.mFalseAlarms = 0;
+  mesh.Run(20s);
+  CHECK(mesh.mFalseAlarms == 0);
+  CHECK(mesh.mMostTargets <= Fleet::kFanoutInDomain + Fleet::kFanoutElsewhere);
+}
+
+TEST_CASE("A silent balancer is left out, a later life comes back at once",
+          "[flow][fleet]")
+{
+  Fleet fleet = MakeFleet(1, {});
+  fleet.Hear(kStart, 2, MakeBeat(2, 5));
+  CHECK(fleet.IsAlive(kStart + Fleet::kDirectSilence - 1ms, 2));
+  CHECK_FALSE(fleet.IsAlive(kStart + Fleet::kDirectSilence, 2));
+  CHECK(fleet.Expire(kStart + Fleet::kDirectSilence).size() == 1);
+  // Old news of it change nothing.
+  fleet.Hear(kStart + 1s, 2, MakeBeat(2, 5));
+  CHECK_FALSE(fleet.IsAlive(kStart + 1s, 2));
+  fleet.Hear(kStart + 1s, 2, MakeBeat(2, 1, true, 2));
+  CHECK(fleet.IsAlive(kStart + 1s, 2));
+}
+
+TEST_CASE("Only ready members that answer broker", "[flow][fleet]")
+{
+  Fleet fleet = MakeFleet(1, {});
+  const TimePoint now = kStart;
+  // A service that the other one would broker.
+  fleet.Hear(now, 2, MakeBeat(2, 1));
+  uint32_t service = 0;
+  while (fleet.BrokerOf(now, service) != 2) {
+    ++service;
+  }
+  SECTION("not ready")
+  {
+    fleet.Hear(now, 2, MakeBeat(2, 2, false));
+    CHECK(fleet.BrokerOf(now, service) == 1);
+  }
+  SECTION("silent")
+  {
+    CHECK(fleet.BrokerOf(now + 1s, service) == 1);
+  }
+  SECTION("suspected, for longer each time")
+  {
+    TimePoint at = now;
+    for (const milliseconds time : { 1000ms, 2000ms, 4000ms, 8000ms, 8000ms }) {
+      fleet.Suspect(at, 2);
+      fleet.Hear(at + time, 2, MakeBeat(2, at.time_since_epoch().count()));
+      CHECK(fleet.BrokerOf(at + time - 1ms, service) == 1);
+      CHECK(fleet.BrokerOf(at + time, service) == 2);
+      at += time;
+    }
+  }
+}
+
+TEST_CASE("A beat in another's name is refused", "[flow][fleet]")
+{
+  Fleet fleet = MakeFleet(1, {});
+  const auto events = fleet.Hear(kStart, 3, MakeBeat(2, 1));
+  REQUIRE(events.size() == 1);
+  CHECK(events[0].mId == 7001);
+  CHECK(fleet.AliveCount(kStart) == 1);
+}
