Tell members of many others whenever they know fewer

A beat now says how many members its sender knows, and who knows more tells 32 names at once, one beat every 125 ms at most. The tests of fleets pass (467 assertions).

--- a/include/foxtail/flow/Fleet.h
+++ b/include/foxtail/flow/Fleet.h
@@ -34,8 +34,8 @@
   // Other members named in one beat.
   static constexpr size_t kFewRecords = 2;
   static constexpr size_t kGossipRecords = 8;
-  // The same for one that is heard for the first time; they fit a datagram.
-  static constexpr size_t kWelcomeRecords = 32;
+  // The same for one that knows fewer members; they fit a datagram.
+  static constexpr size_t kCatchUpRecords = 32;
   // A peer that all beats reach is taken for dead after this silence: three
   // beats may be lost or late.
   static constexpr milliseconds kDirectSilence{ 350 };
@@ -119,8 +119,8 @@
   std::vector<VmIp> mSeeds;
   std::mt19937_64 mRandom;
   std::map<VmIp, Member> mMembers;
-  // Heard for the first time since the last beat.
-  std::vector<VmIp> mNewcomers;
+  // Knows fewer members than this one; zero for nobody.
+  VmIp mUninformed = 0;
   TimePoint mNextBeat;
   TimePoint mLastBeat;
   TimePoint mChangedAt;
--- a/include/foxtail/flow/PeerMessages.h
+++ b/include/foxtail/flow/PeerMessages.h
@@ -36,6 +36,8 @@
   Revision mNewest = 0;
   // How long ago the publisher confirmed mConfirmed.
   milliseconds mConfirmedAge{ 0 };
+  // Live members that the sender knows, itself included.
+  uint32_t mKnown = 0;
   // Some of the others that the sender hears of.
   std::vector<MemberRecord> mOthers;
 };
--- a/src/flow/Fleet.cpp
+++ b/src/flow/Fleet.cpp
@@ -103,10 +103,10 @@
                                     " reason=beat-of-another-vm") });
     return events;
   }
+  if (!AreFew() && aBeat.mKnown < AliveCount(aNow)) {
+    mUninformed = aFrom;
+  }
   if (Merge(aNow, aBeat.mSelf)) {
-    if (!AreFew()) {
-      mNewcomers.push_back(aFrom);
-    }
     events.push_back(
       { 3101, absl::StrCat(Describe(aBeat.mSelf), " heard=directly") });
   }
@@ -183,13 +183,14 @@
   Round round;
   round.mTargets = PickTargets();
   round.mBeat.mSelf = mSelf;
+  round.mBeat.mKnown = static_cast<uint32_t>(AliveCount(aNow));
   size_t records = AreFew() ? kFewRecords : kGossipRecords;
-  if (!mNewcomers.empty()) {
-    // They know few; tell them of many at once.
-    round.mTargets = std::move(mNewcomers);
-    mNewcomers.clear();
-    records = kWelcomeRecords;
-    mNextBeat = aNow + kBeatGap;
+  if (mUninformed != 0) {
+    // One that knows fewer is told of many at once, between two beats.
+    round.mTargets = { mUninformed };
+    mUninformed = 0;
+    records = kCatchUpRecords;
+    mNextBeat = aNow + kGossipPeriod / 2;
   }
   round.mBeat.mOthers = PickRecords(records);
   return round;
--- a/src/net/FlowCodec.cpp
+++ b/src/net/FlowCodec.cpp
@@ -81,6 +81,7 @@
   out.set_confirmed(aBeat.mConfirmed);
   out.set_newest(aBeat.mNewest);
   out.set_confirmed_age_ms(ToWire(aBeat.mConfirmedAge));
+  out.set_known(aBeat.mKnown);
   for (const flow::MemberRecord& it : aBeat.mOthers) {
     Write(it, *out.add_others());
   }
@@ -94,6 +95,7 @@
   beat.mConfirmed = aIn.confirmed();
   beat.mNewest = aIn.newest();
   beat.mConfirmedAge = FromWire(aIn.confirmed_age_ms());
+  beat.mKnown = aIn.known();
   for (const wire::FlowMember& it : aIn.others()) {
     beat.mOthers.push_back(Read(it));
   }
--- a/tests/unit/FlowCodecTest.cpp
+++ b/tests/unit/FlowCodecTest.cpp
@@ -21,6 +21,7 @@
   beat.mConfirmed = 90;
   beat.mNewest = 80;
   beat.mConfirmedAge = 120ms;
+  beat.mKnown = 12;
   beat.mOthers = { { 11, 1001, 8, "b", false } };
   SlotReport report;
   report.mIncarnation = 1000;
