--- a/benchmarks/FlowBenchmark.cpp
+++ b/benchmarks/FlowBenchmark.cpp
@@ -30,13 +30,9 @@
     update.mUpstreams.push_back(record);
   }
   Configuration configuration;
-  configuration.mRoutes = { { "r",
-                              { 9, 80 },
-                              { { "s", 1 } },
-                              true,
-                              seconds(1),
-                              milliseconds(250),
-                              1 } };
+  configuration.mRoutes = {
+    { "r", { 9, 80 }, { { "s", 1 } }, true, seconds(1), milliseconds(250), 1 }
+  };
   update.mConfiguration = configuration;
   return update;
 }
--- a/include/foxtail/flow/Fleet.h
+++ b/include/foxtail/flow/Fleet.h
@@ -95,8 +95,6 @@
   size_t AliveCount(TimePoint aNow) const;
   // Members that broker and report to brokers, this one included.
   size_t ReadyCount(TimePoint aNow) const;
-  // No live peer of this failure domain is heard, though some were before.
-  bool IsDomainSilent(TimePoint aNow, const std::string& aDomain) const;
 
 private:
   struct Member
--- a/include/foxtail/flow/FlowBalancer.h
+++ b/include/foxtail/flow/FlowBalancer.h
@@ -192,7 +192,6 @@
 
   // It can serve: it has a configuration and upstreams.
   bool IsReady() const { return mDirectory.IsUsable() && !mIsLeaving; }
-  bool HasOpenings() const { return !mOpenings.empty(); }
 
   const Directory& Replica() const { return mDirectory; }
   const Fleet& Peers() const { return mFleet; }
--- a/include/foxtail/flow/Ledger.h
+++ b/include/foxtail/flow/Ledger.h
@@ -55,11 +55,8 @@
   FlowProgress Pass(TimePoint aNow, const Packet& aPacket, Cookie aUpstream);
   // Drops silent flows; returns whether a slot became free.
   bool Expire(TimePoint aNow);
-  // Drops the flows of an upstream that ended.
-  void Drop(Cookie aUpstream);
 
   uint32_t Held(Cookie aUpstream) const;
-  std::vector<SlotCount> AllHeld() const;
   size_t Flows() const { return mFlows.size(); }
   // Silence after which a busy flow is forgotten.
   Duration BusySilence() const;
--- a/src/flow/Fleet.cpp
+++ b/src/flow/Fleet.cpp
@@ -308,20 +308,4 @@
   return static_cast<size_t>(ready) + (mSelf.mIsReady ? 1 : 0);
 }
 
-bool
-Fleet::IsDomainSilent(TimePoint aNow, const std::string& aDomain) const
-{
-  bool known = false;
-  for (const auto& [ip, member] : mMembers) {
-    if (member.mRecord.mDomain != aDomain) {
-      continue;
-    }
-    known = true;
-    if (IsHeard(aNow, member)) {
-      return false;
-    }
-  }
-  return known && aDomain != mSelf.mDomain;
-}
-
 } // namespace foxtail::flow
--- /dev/null
+++ b/src/flow/FlowReading.cpp
@@ -0,0 +1,114 @@
+#include "foxtail/flow/FlowBalancer.h"
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+
+#include "flow/Conversions.h"
+
+// The part of FlowBalancer that keeps its replica up to date.
+namespace foxtail::flow {
+
+Duration
+FlowBalancer::ReadPatience(TimePoint aNow) const
+{
+  const size_t turn = std::min(mFleet.ReaderRank(aNow), kMostTurns);
+  return kReadPeriod + turn * Duration(kReadTurn);
+}
+
+void
+FlowBalancer::OnMessage(TimePoint aNow, VmIp aFrom, const Beat& aBeat)
+{
+  for (Event& it : mFleet.Hear(aNow, aFrom, aBeat)) {
+    mActions.push_back(LogLine{ std::move(it) });
+  }
+  // A balancer that is not ready has no whole replica.
+  if (!aBeat.mSelf.mIsReady) {
+    return;
+  }
+  const bool knowsMore =
+    aBeat.mNewest > mDirectory.Confirmed() || !mDirectory.IsUsable();
+  if (knowsMore) {
+    // A replica from the own failure domain is cheaper; others are asked when
+    // none of it has come for a beat or two.
+    const bool isNear = aBeat.mSelf.mDomain == mFleet.Self().mDomain;
+    if (mAheadSince == TimePoint{}) {
+      mAheadSince = aNow;
+    }
+    if (isNear || aNow - mAheadSince >= kNearFirst) {
+      mAhead = aFrom;
+      CheckReads(aNow);
+    }
+    return;
+  }
+  // Nothing that matters happened up to the revision that the peer confirms.
+  ReplicaUpdate update;
+  update.mConfirmed = aBeat.mConfirmed;
+  update.mAge = aBeat.mConfirmedAge;
+  mDirectory.Apply(aNow, update, "peer");
+}
+
+void
+FlowBalancer::CheckReads(TimePoint aNow)
+{
+  const bool isStuck = mIsReading && aNow - mReadStarted >= 2 * kReadTimeout;
+  if (mIsReading && !isStuck) {
+    return;
+  }
+  if (mAhead != 0) {
+    mIsReading = true;
+    mReadStarted = aNow;
+    mActions.push_back(ReadPeer{ mAhead, mDirectory.Confirmed() });
+    mAhead = 0;
+    mAheadSince = TimePoint{};
+    return;
+  }
+  const bool isOld = !mDirectory.IsUsable() ||
+                     aNow - mDirectory.ConfirmedAt() >= ReadPatience(aNow);
+  if (isOld && aNow >= mNextRead) {
+    mIsReading = true;
+    mReadStarted = aNow;
+    const bool leavesItToSeeds = !mIsSeed && aNow - mStarted < kLongListing;
+    mActions.push_back(ReadPublisher{ mDirectory.Confirmed(),
+                                      !mDirectory.IsUsable(),
+                                      leavesItToSeeds ? kFewPages : 0 });
+  }
+}
+
+FlowActions
+FlowBalancer::OnRead(TimePoint aNow,
+                     const std::optional<ReplicaUpdate>& aUpdate,
+                     const std::string& aSource,
+                     ReadOutcome aOutcome)
+{
+  mIsReading = false;
+  const bool isWhole = mDirectory.IsUsable();
+  if (!aUpdate || !isWhole) {
+    const bool isTooLong = aOutcome == ReadOutcome::TooLong;
+    mNextRead = aNow + (isTooLong ? kLongListingRetry : kReadRetry);
+  }
+  if (!aUpdate) {
+    return TakeActions();
+  }
+  const bool wasReady = IsReady();
+  for (Event& it : mDirectory.Apply(aNow, *aUpdate, aSource)) {
+    mActions.push_back(LogLine{ std::move(it) });
+  }
+  if (IsReady() && !wasReady) {
+    Log(1101,
+        absl::StrCat("upstreams=",
+                     mDirectory.Upstreams().size(),
+                     " version=",
+                     mDirectory.CurrentConfiguration()->mVersion,
+                     " replica=",
+                     mDirectory.Confirmed(),
+                     " source=",
+                     aSource,
+                     " after_ms=",
+                     ToMilliseconds(aNow - mStarted).count()));
+    mFleet.SetReady(aNow, true);
+  }
+  return TakeActions();
+}
+
+} // namespace foxtail::flow
--- a/src/flow/Ledger.cpp
+++ b/src/flow/Ledger.cpp
@@ -90,18 +90,6 @@
   return released;
 }
 
-void
-Ledger::Drop(Cookie aUpstream)
-{
-  for (auto it = mFlows.begin(); it != mFlows.end();) {
-    const auto next = std::next(it);
-    if (it->second.mUpstream == aUpstream) {
-      Erase(it);
-    }
-    it = next;
-  }
-}
-
 Duration
 Ledger::BusySilence() const
 {
@@ -115,17 +103,6 @@
   return it == mHeld.end() ? 0 : it->second;
 }
 
-std::vector<SlotCount>
-Ledger::AllHeld() const
-{
-  std::vector<SlotCount> held;
-  held.reserve(mHeld.size());
-  for (const auto& [upstream, count] : mHeld) {
-    held.push_back({ upstream, count });
-  }
-  return held;
-}
-
 Ledger::Flow&
 Ledger::Adopt(TimePoint aNow, const Packet& aPacket, Cookie aUpstream)
 {
--- a/tests/unit/FleetTest.cpp
+++ b/tests/unit/FleetTest.cpp
@@ -21,7 +21,7 @@
 }
 
 Fleet
-MakeFleet(VmIp aSelf, std::vector<VmIp> aSeeds)
+MakeFleet(VmIp aSelf, const std::vector<VmIp>& aSeeds)
 {
   return Fleet(
     { aSelf, 1, 0, aSelf % 2 == 0 ? "even" : "odd", true }, aSeeds, aSelf);
--- a/tests/unit/FlowLedgerTest.cpp
+++ b/tests/unit/FlowLedgerTest.cpp
@@ -105,17 +105,3 @@
   const auto third = ledger.Pass(kStart + 80ms, MakePacket(2050, 0), kUpstream);
   CHECK_FALSE(third.mAnswer);
 }
-
-TEST_CASE("Nothing is left when an upstream's flows are dropped",
-          "[flow][ledger]")
-{
-  Ledger ledger;
-  for (uint16_t i = 0; i < 50; ++i) {
-    ledger.Place(
-      kStart, { { 1, i }, { 9, 80 } }, static_cast<Cookie>(i % 2 + 1));
-  }
-  ledger.Drop(1);
-  CHECK(ledger.Held(1) == 0);
-  CHECK(ledger.Held(2) == 25);
-  CHECK(ledger.Flows() == 25);
-}
