Eject upstreams whose answers are odd for their route

Cause: an upstream that fails its requests at once has free slots all the time, so the broker sent it most new flows. Ruled out: silence (they confirm their handshake) and slowness (clamped at 0.8, but the slots alone draw the flows).

Open: upstreams that accept a request and never answer it (hang, reset, mute).

--- a/include/foxtail/flow/FlowBalancer.h
+++ b/include/foxtail/flow/FlowBalancer.h
@@ -210,6 +210,7 @@
     TimePoint mArrived;
     milliseconds mObjective{ 0 };
     uint32_t mPriority = 0;
+    bool mIsIdempotent = true;
     // The upstream it is offered to; zero while it waits for a slot.
     Cookie mUpstream = 0;
     TimePoint mOfferedAt;
@@ -239,6 +240,7 @@
     std::optional<TimePoint> mDue;
     std::vector<Cookie> mSilent;
     std::vector<AnswerTime> mAnswers;
+    std::vector<AnswerShape> mShapes;
   };
 
   void OnMessage(TimePoint aNow, VmIp aFrom, const Beat& aBeat);
--- a/include/foxtail/flow/Ledger.h
+++ b/include/foxtail/flow/Ledger.h
@@ -25,6 +25,15 @@
   std::optional<Duration> mHandshake;
   // The first bytes of an answer came, this long after the request began.
   std::optional<Duration> mAnswer;
+  // A whole answer came: the flow ends or its next request begins. Only for
+  // flows that opened here.
+  struct WholeAnswer
+  {
+    // From the request to the first bytes, less the packets' way.
+    Duration mWork{ 0 };
+    uint32_t mBytes = 0;
+  };
+  std::optional<WholeAnswer> mWhole;
   // A slot became free.
   bool mReleased = false;
 };
@@ -78,6 +87,12 @@
     TimePoint mPhaseSince;
     TimePoint mLastPacket;
     uint32_t mAcknowledged = 0;
+    // What the caller had acknowledged when its request began.
+    uint32_t mRequestBegan = 0;
+    // The packets' way to the upstream, to the caller and back here; empty
+    // when the flow opened elsewhere.
+    std::optional<Duration> mHandshake;
+    Duration mAnswer{ 0 };
   };
   struct KeyHash
   {
@@ -88,6 +103,8 @@
   Flow& Adopt(TimePoint aNow, const Packet& aPacket, Cookie aUpstream);
   void SetPhase(TimePoint aNow, Flow& aFlow, Phase aPhase);
   void Erase(FlowMap::iterator aFlow);
+  // The answer that the caller has now, if the flow has had one.
+  static std::optional<FlowProgress::WholeAnswer> AnswerOf(const Flow& aFlow);
   static bool Holds(Phase aPhase) { return aPhase != Phase::Idle; }
 
   FlowMap mFlows;
--- /dev/null
+++ b/include/foxtail/flow/OutlierDetector.h
@@ -0,0 +1,113 @@
+#ifndef foxtail_flow_OutlierDetector_h
+#define foxtail_flow_OutlierDetector_h
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "foxtail/core/Time.h"
+#include "foxtail/flow/PeerMessages.h"
+
+namespace foxtail::flow {
+
+// Finds the upstreams of one service that answer at once with next to nothing,
+// as one does that fails its requests. Such an upstream has free slots all the
+// time, so it would draw most new flows to it. Each route's usual answers are
+// learned from all upstreams; those of one upstream are tested against them
+// with a cumulative sum of likelihood ratios. An upstream that is found is
+// ejected for a while and then has to prove itself with a few answers. Not
+// thread-safe.
+class OutlierDetector
+{
+public:
+  // Answers of a route that are seen before any of them is judged.
+  static constexpr size_t kReference = 20;
+  // One upstream adds to what is usual no more often than this, so that each
+  // has about one vote however many flows it draws.
+  static constexpr milliseconds kVoteGap{ 100 };
+  // An answer is odd when it took less than this part of the route's lower
+  // quartile, or has fewer bytes than this part of it.
+  static constexpr double kOddPart = 1.0 / 3;
+  // Work below this is not told from a packet's delay, which varies by a few
+  // milliseconds.
+  static constexpr milliseconds kMeasurableWork{ 10 };
+  // Share of odd answers that an upstream must be found at: the users' example
+  // of one that fails a part of its requests fails two of five.
+  static constexpr double kFailingShare = 0.4;
+  // Least share of odd answers that healthy upstreams are taken to have, and
+  // the greatest with which the test still tells anything.
+  static constexpr double kLeastUsualShare = 0.02;
+  static constexpr double kMostUsualShare = 0.2;
+  // Natural logarithm of the likelihood ratio that ejects: two odd answers in
+  // a row, or a few among more. One in 250 is a false alarm.
+  static constexpr double kEjectAt = 5.5;
+  // An upstream with this much evidence is in doubt.
+  static constexpr double kDoubtAt = kEjectAt / 2;
+  // Time of the first ejection; doubles with each further one. The longest is
+  // what an upstream that recovers has to wait at most.
+  static constexpr milliseconds kFirstEjection{ 1000 };
+  static constexpr milliseconds kLongestEjection{ 8000 };
+  // Usual answers that end a probation.
+  static constexpr uint32_t kProbation = 4;
+  // Without another odd answer, earlier ejections are forgotten.
+  static constexpr seconds kForget{ 30 };
+
+  enum class Standing
+  {
+    Trusted,
+    // Answered oddly of late, or is back from an ejection and has to prove
+    // itself.
+    Doubted,
+    Probation,
+    Ejected
+  };
+
+  // Takes an answer. When it ejects the upstream, returns why, as key=value
+  // text.
+  std::optional<std::string> Take(TimePoint aNow, const AnswerShape& aAnswer);
+
+  Standing StandingOf(TimePoint aNow, Cookie aUpstream) const;
+
+  // When more than half of the service's upstreams are ejected or on
+  // probation, the answers changed rather than the upstreams: all that is
+  // known is dropped. Returns whether it was.
+  bool ResetIfMostAccused(size_t aUpstreams);
+
+private:
+  // Usual answers of a route.
+  struct Reference
+  {
+    // Until there are kReference of them.
+    std::vector<AnswerShape> mFirst;
+    bool mIsLearned = false;
+    // Lower quartiles as natural logarithms; they follow in small steps.
+    double mWork = 0;
+    double mBytes = 0;
+    double mOddShare = kLeastUsualShare;
+  };
+  struct Suspect
+  {
+    double mEvidence = 0;
+    TimePoint mLastOdd;
+    TimePoint mEjectedUntil;
+    uint32_t mEjections = 0;
+    uint32_t mToProve = 0;
+  };
+
+  static bool IsOdd(const Reference& aReference, const AnswerShape& aAnswer);
+  // Adds an answer to what is usual.
+  void Learn(TimePoint aNow, Reference& aReference, const AnswerShape& aAnswer);
+  static void Eject(TimePoint aNow, Suspect& aSuspect);
+  // A usual answer of a suspect.
+  void Clear(TimePoint aNow, Cookie aUpstream, double aUsualShare);
+
+  std::unordered_map<uint32_t, Reference> mReferences;
+  std::unordered_map<Cookie, Suspect> mSuspects;
+  std::unordered_map<Cookie, TimePoint> mVotedAt;
+};
+
+} // namespace foxtail::flow
+
+#endif
--- a/include/foxtail/flow/PeerMessages.h
+++ b/include/foxtail/flow/PeerMessages.h
@@ -54,6 +54,8 @@
   uint32_t mPriority = 0;
   // The caller's address: another try of one that was refused is known by it.
   uint32_t mCallerIp = 0;
+  // May be repeated without harm.
+  bool mIsIdempotent = true;
   // Upstreams that did not answer its opening packet.
   std::vector<Cookie> mExcluded;
 };
@@ -65,6 +67,18 @@
   milliseconds mTime{ 0 };
 };
 
+// A whole answer, as far as a balancer sees it: answers don't pass it, but the
+// caller's acknowledgements do.
+struct AnswerShape
+{
+  Cookie mUpstream = 0;
+  // Stable hash of the route: only answers of one route are alike.
+  uint32_t mRoute = 0;
+  // From the request to the first bytes, without the packets' way.
+  milliseconds mWork{ 0 };
+  uint32_t mBytes = 0;
+};
+
 // From a balancer to the broker of a service: everything it holds there, and
 // flows that want a slot. What a later report says is held replaces what an
 // earlier one said.
@@ -84,6 +98,7 @@
   // Upstreams that leave the balancer's opening packets unanswered.
   std::vector<Cookie> mSilent;
   std::vector<AnswerTime> mAnswers;
+  std::vector<AnswerShape> mShapes;
 };
 
 struct SlotGrant
--- a/include/foxtail/flow/SlotBroker.h
+++ b/include/foxtail/flow/SlotBroker.h
@@ -7,8 +7,10 @@
 #include <unordered_map>
 #include <vector>
 
+#include "foxtail/core/Event.h"
 #include "foxtail/core/Time.h"
 #include "foxtail/flow/Directory.h"
+#include "foxtail/flow/OutlierDetector.h"
 #include "foxtail/flow/PeerMessages.h"
 
 namespace foxtail::flow {
@@ -75,6 +77,12 @@
   // No other balancer is heard.
   void SetAlone(bool aIsAlone) { mIsAlone = aIsAlone; }
 
+  // What changed in the standing of upstreams since the last call, to be
+  // logged.
+  std::vector<Event> TakeEvents();
+  // Upstreams that were ejected so far.
+  uint64_t Ejections() const { return mEjections; }
+
   // Flows that wait for a slot of any service.
   size_t Waiting() const;
 
@@ -132,6 +140,7 @@
     std::unordered_map<uint64_t, Silence> mSilences;
     std::unordered_multimap<uint32_t, Refusal> mRefusals;
     std::unordered_map<Cookie, double> mAnswerMs;
+    OutlierDetector mOutliers;
     double mMeanAnswerMs = 0;
   };
   struct Candidate
@@ -141,9 +150,14 @@
     uint32_t mLoad = 0;
     double mSlowness = 1;
     double mLimit = 0;
+    OutlierDetector::Standing mStanding = OutlierDetector::Standing::Trusted;
   };
 
   void Learn(TimePoint aNow, Pool& aPool, const SlotReport& aReport);
+  void LearnShapes(TimePoint aNow,
+                   Pool& aPool,
+                   const SlotReport& aReport,
+                   const Directory& aDirectory);
   void Enqueue(TimePoint aNow,
                Pool& aPool,
                VmIp aFrom,
@@ -160,6 +174,8 @@
                     Pool& aPool,
                     std::vector<Candidate>& aCandidates,
                     const Waiter& aWaiter);
+  // Whether this flow goes there only when no other upstream is left.
+  static bool IsAvoided(const Candidate& aCandidate, const Waiter& aWaiter);
   TimePoint FirstTry(TimePoint aNow, Pool& aPool, const Waiter& aWaiter);
   void GrantTo(TimePoint aNow,
                Pool& aPool,
@@ -170,6 +186,8 @@
   std::map<uint32_t, Pool> mPools;
   std::mt19937_64 mRandom;
   bool mIsAlone = false;
+  uint64_t mEjections = 0;
+  std::vector<Event> mEvents;
 };
 
 } // namespace foxtail::flow
--- a/src/flow/FlowBalancer.cpp
+++ b/src/flow/FlowBalancer.cpp
@@ -49,6 +49,13 @@
   return kCopyTimes[std::min(aPacket.mAcknowledgement, 2U)];
 }
 
+// How messages name a route; the same in every process.
+uint32_t
+RouteId(const Address& aService)
+{
+  return static_cast<uint32_t>(MixHash(aService.mIp, aService.mPort));
+}
+
 std::string
 FlowText(const FlowKey& aKey)
 {
@@ -151,16 +158,24 @@
     mHandshakeDeviation +=
       ((error < Duration(0) ? -error : error) - mHandshakeDeviation) / 8;
   }
-  if (!progress.mAnswer && !progress.mReleased) {
+  if (!progress.mAnswer && !progress.mReleased && !progress.mWhole) {
     return;
   }
   Account& account = AccountOf(aUpstream.mRecord.mService);
+  if (progress.mWhole) {
+    account.mShapes.push_back({ aUpstream.mCookie,
+                                RouteId(aPacket.mKey.mService),
+                                ToMilliseconds(progress.mWhole->mWork),
+                                progress.mWhole->mBytes });
+  }
   if (progress.mAnswer) {
     mActions.push_back(ObserveTime{ Measure::Answer, *progress.mAnswer });
     account.mAnswers.push_back(
       { aUpstream.mCookie, ToMilliseconds(*progress.mAnswer) });
   }
-  RequestReport(aNow, account, kReleaseDelay);
+  if (progress.mAnswer || progress.mReleased) {
+    RequestReport(aNow, account, kReleaseDelay);
+  }
 }
 
 void
@@ -217,6 +232,7 @@
   aOpening.mService = ServiceId(service);
   aOpening.mObjective = route->mObjective;
   aOpening.mPriority = route->mPriority;
+  aOpening.mIsIdempotent = route->mIsIdempotent;
   Account& account = AccountOf(service);
   RequestReport(
     aNow, account, account.mIsQueueing ? Duration(kQueueDelay) : Duration(0));
--- a/src/flow/FlowBrokering.cpp
+++ b/src/flow/FlowBrokering.cpp
@@ -77,13 +77,16 @@
                                  opening.mObjective,
                                  opening.mPriority,
                                  opening.mKey.mCaller.mIp,
+                                 opening.mIsIdempotent,
                                  opening.mExcluded });
   }
   report.mIsWhole = aAccount.mMustTellAll && unasked == 0;
   report.mSilent = std::move(aAccount.mSilent);
   report.mAnswers = std::move(aAccount.mAnswers);
+  report.mShapes = std::move(aAccount.mShapes);
   aAccount.mSilent.clear();
   aAccount.mAnswers.clear();
+  aAccount.mShapes.clear();
   if (!report.mRequests.empty()) {
     aAccount.mLastAsked = report.mSequence;
     if (!aAccount.mAwaitsSince) {
@@ -117,6 +120,9 @@
 FlowBalancer::Deliver(TimePoint aNow,
                       const std::vector<SlotBroker::Reply>& aReplies)
 {
+  for (Event& it : mBroker.TakeEvents()) {
+    mActions.push_back(LogLine{ std::move(it) });
+  }
   for (const SlotBroker::Reply& it : aReplies) {
     if (it.mTo == mFleet.Self().mIp) {
       OnMessage(aNow, it.mTo, it.mReply);
--- a/src/flow/Ledger.cpp
+++ b/src/flow/Ledger.cpp
@@ -45,7 +45,9 @@
   const bool opens = flow.mPhase == Phase::Opening;
   if (opens) {
     progress.mHandshake = aNow - flow.mPhaseSince;
+    flow.mHandshake = progress.mHandshake;
     flow.mAcknowledged = aPacket.mAcknowledgement;
+    flow.mRequestBegan = aPacket.mAcknowledgement;
     SetPhase(aNow, flow, Phase::Busy);
   }
   // Sequence numbers wrap; the difference as a signed number doesn't mind.
@@ -55,6 +57,7 @@
     flow.mAcknowledged = aPacket.mAcknowledgement;
     if (flow.mPhase == Phase::Busy) {
       progress.mAnswer = aNow - flow.mPhaseSince;
+      flow.mAnswer = *progress.mAnswer;
       mAnswer += (*progress.mAnswer - mAnswer) / 16;
       progress.mReleased = true;
       SetPhase(aNow, flow, Phase::Idle);
@@ -62,16 +65,32 @@
   }
   const bool asksAgain = aPacket.mLength > 0 && flow.mPhase == Phase::Idle;
   if (asksAgain) {
+    progress.mWhole = AnswerOf(flow);
+    flow.mRequestBegan = flow.mAcknowledged;
     SetPhase(aNow, flow, Phase::Busy);
     progress.mReleased = false;
   }
   if (ends) {
+    if (!progress.mWhole) {
+      progress.mWhole = AnswerOf(flow);
+    }
     progress.mReleased |= Holds(flow.mPhase);
     Erase(it);
   }
   return progress;
 }
 
+std::optional<FlowProgress::WholeAnswer>
+Ledger::AnswerOf(const Flow& aFlow)
+{
+  if (aFlow.mPhase != Phase::Idle || !aFlow.mHandshake) {
+    return std::nullopt;
+  }
+  const Duration work = aFlow.mAnswer - *aFlow.mHandshake;
+  return FlowProgress::WholeAnswer{ std::max(work, Duration(0)),
+                                    aFlow.mAcknowledged - aFlow.mRequestBegan };
+}
+
 bool
 Ledger::Expire(TimePoint aNow)
 {
@@ -107,7 +126,12 @@
 Ledger::Adopt(TimePoint aNow, const Packet& aPacket, Cookie aUpstream)
 {
   Flow& flow = mFlows[aPacket.mKey];
-  flow = { aUpstream, Phase::Busy, aNow, aNow, aPacket.mAcknowledgement };
+  flow.mUpstream = aUpstream;
+  flow.mPhase = Phase::Busy;
+  flow.mPhaseSince = aNow;
+  flow.mLastPacket = aNow;
+  flow.mAcknowledged = aPacket.mAcknowledgement;
+  flow.mRequestBegan = aPacket.mAcknowledgement;
   ++mHeld[aUpstream];
   return flow;
 }
--- /dev/null
+++ b/src/flow/OutlierDetector.cpp
@@ -0,0 +1,205 @@
+#include "foxtail/flow/OutlierDetector.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "absl/strings/str_cat.h"
+
+namespace foxtail::flow {
+
+namespace {
+
+constexpr double kQuartile = 0.25;
+// How far a quartile moves with one answer, as a natural logarithm: a hundred
+// answers double it.
+constexpr double kQuartileStep = 0.01;
+// Weight of one answer in the usual share of odd ones.
+constexpr double kShareStep = 0.005;
+// Work below the resolution of what is reported.
+constexpr double kLeastWorkMs = 0.5;
+
+double
+LogWork(const AnswerShape& aAnswer)
+{
+  return std::log(
+    std::max(kLeastWorkMs, static_cast<double>(aAnswer.mWork.count())));
+}
+
+double
+LogBytes(const AnswerShape& aAnswer)
+{
+  return std::log(std::max(1.0, static_cast<double>(aAnswer.mBytes)));
+}
+
+// Lower quartile of aAnswers, which are not empty.
+template<typename Measure>
+double
+QuartileOf(const std::vector<AnswerShape>& aAnswers, Measure aMeasure)
+{
+  std::vector<double> values;
+  values.reserve(aAnswers.size());
+  for (const AnswerShape& it : aAnswers) {
+    values.push_back(aMeasure(it));
+  }
+  const auto at =
+    values.begin() +
+    static_cast<ptrdiff_t>(kQuartile * static_cast<double>(values.size()));
+  std::nth_element(values.begin(), at, values.end());
+  return *at;
+}
+
+void
+FollowQuartile(double& aQuartile, double aValue)
+{
+  aQuartile += kQuartileStep * (aValue < aQuartile ? kQuartile - 1 : kQuartile);
+}
+
+} // namespace
+
+bool
+OutlierDetector::IsOdd(const Reference& aReference, const AnswerShape& aAnswer)
+{
+  const double part = std::log(kOddPart);
+  const bool isMeasurable =
+    aReference.mWork >= std::log(static_cast<double>(kMeasurableWork.count()));
+  const bool isQuick =
+    isMeasurable && LogWork(aAnswer) < aReference.mWork + part;
+  return isQuick || LogBytes(aAnswer) < aReference.mBytes + part;
+}
+
+void
+OutlierDetector::Learn(TimePoint aNow,
+                       Reference& aReference,
+                       const AnswerShape& aAnswer)
+{
+  TimePoint& votedAt = mVotedAt[aAnswer.mUpstream];
+  if (aNow - votedAt < kVoteGap) {
+    return;
+  }
+  votedAt = aNow;
+  if (aReference.mIsLearned) {
+    FollowQuartile(aReference.mWork, LogWork(aAnswer));
+    FollowQuartile(aReference.mBytes, LogBytes(aAnswer));
+    const double odd = IsOdd(aReference, aAnswer) ? 1 : 0;
+    aReference.mOddShare += kShareStep * (odd - aReference.mOddShare);
+    return;
+  }
+  auto& first = aReference.mFirst;
+  first.push_back(aAnswer);
+  if (first.size() == kReference) {
+    aReference.mWork = QuartileOf(first, &LogWork);
+    aReference.mBytes = QuartileOf(first, &LogBytes);
+    aReference.mIsLearned = true;
+    first = {};
+  }
+}
+
+std::optional<std::string>
+OutlierDetector::Take(TimePoint aNow, const AnswerShape& aAnswer)
+{
+  Reference& reference = mReferences[aAnswer.mRoute];
+  const bool isSuspect = mSuspects.count(aAnswer.mUpstream) > 0;
+  // One that fails would soon make its answers the usual ones.
+  if (!isSuspect) {
+    Learn(aNow, reference, aAnswer);
+  }
+  if (!reference.mIsLearned) {
+    return std::nullopt;
+  }
+  const bool isOdd = IsOdd(reference, aAnswer);
+  const double usual = std::max(reference.mOddShare, kLeastUsualShare);
+  if (usual > kMostUsualShare || (!isSuspect && !isOdd)) {
+    return std::nullopt;
+  }
+  Suspect& suspect = mSuspects[aAnswer.mUpstream];
+  const bool isLeftOver = suspect.mEjectedUntil > aNow;
+  if (isLeftOver) {
+    return std::nullopt;
+  }
+  if (!isOdd) {
+    Clear(aNow, aAnswer.mUpstream, usual);
+    return std::nullopt;
+  }
+  suspect.mLastOdd = aNow;
+  suspect.mEvidence += std::log(kFailingShare / usual);
+  const bool isFound = suspect.mEvidence >= kEjectAt || suspect.mToProve > 0;
+  if (!isFound) {
+    return std::nullopt;
+  }
+  Eject(aNow, suspect);
+  return absl::StrCat("work_ms=",
+                      aAnswer.mWork.count(),
+                      " bytes=",
+                      aAnswer.mBytes,
+                      " usual_work_ms=",
+                      std::lround(std::exp(reference.mWork)),
+                      " usual_bytes=",
+                      std::lround(std::exp(reference.mBytes)),
+                      " usual_odd_share=",
+                      reference.mOddShare,
+                      " ejections=",
+                      suspect.mEjections);
+}
+
+void
+OutlierDetector::Eject(TimePoint aNow, Suspect& aSuspect)
+{
+  const Duration time = std::min<Duration>(
+    Duration(kFirstEjection) * (1U << std::min(aSuspect.mEjections, 4U)),
+    kLongestEjection);
+  ++aSuspect.mEjections;
+  aSuspect.mEjectedUntil = aNow + time;
+  aSuspect.mToProve = kProbation;
+  aSuspect.mEvidence = 0;
+}
+
+void
+OutlierDetector::Clear(TimePoint aNow, Cookie aUpstream, double aUsualShare)
+{
+  Suspect& suspect = mSuspects.at(aUpstream);
+  const double change = std::log((1 - kFailingShare) / (1 - aUsualShare));
+  suspect.mEvidence = std::max(0.0, suspect.mEvidence + change);
+  if (suspect.mToProve > 0) {
+    --suspect.mToProve;
+  }
+  const bool isForgotten =
+    suspect.mEjections == 0 || aNow - suspect.mLastOdd >= kForget;
+  if (suspect.mEvidence == 0 && suspect.mToProve == 0 && isForgotten) {
+    mSuspects.erase(aUpstream);
+  }
+}
+
+OutlierDetector::Standing
+OutlierDetector::StandingOf(TimePoint aNow, Cookie aUpstream) const
+{
+  const auto it = mSuspects.find(aUpstream);
+  if (it == mSuspects.end()) {
+    return Standing::Trusted;
+  }
+  const Suspect& suspect = it->second;
+  if (suspect.mEjectedUntil > aNow) {
+    return Standing::Ejected;
+  }
+  if (suspect.mToProve > 0) {
+    return Standing::Probation;
+  }
+  return suspect.mEvidence >= kDoubtAt ? Standing::Doubted : Standing::Trusted;
+}
+
+bool
+OutlierDetector::ResetIfMostAccused(size_t aUpstreams)
+{
+  const auto accused =
+    std::count_if(mSuspects.begin(), mSuspects.end(), [](const auto& it) {
+      return it.second.mToProve > 0;
+    });
+  if (static_cast<size_t>(accused) * 2 <= aUpstreams) {
+    return false;
+  }
+  mSuspects.clear();
+  mReferences.clear();
+  mVotedAt.clear();
+  return true;
+}
+
+} // namespace foxtail::flow
--- a/src/flow/SlotBroker.cpp
+++ b/src/flow/SlotBroker.cpp
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
 
 #include "foxtail/core/Hash.h"
 
@@ -18,6 +21,9 @@
 constexpr double kColdSlowness = 1.6;
 // Weight of the difference between failure domains: less than one flow.
 constexpr double kOtherDomain = 0.05;
+// What a flow that must not be repeated would rather wait behind, in flows a
+// slot, than go to an upstream in doubt.
+constexpr double kDoubtCost = 1.0;
 
 // Whether the answer can still come within its objective, given that work
 // takes about aWork.
@@ -86,6 +92,7 @@
                 pending.end());
   reporter.mReplyDue = !aReport.mRequests.empty();
   Learn(aNow, pool, aReport);
+  LearnShapes(aNow, pool, aReport, aDirectory);
   Enqueue(aNow, pool, aFrom, aReport);
   Schedule(aNow, pool, aDirectory);
   return Replies(aReport.mService, pool);
@@ -115,6 +122,41 @@
   }
 }
 
+void
+SlotBroker::LearnShapes(TimePoint aNow,
+                        Pool& aPool,
+                        const SlotReport& aReport,
+                        const Directory& aDirectory)
+{
+  for (const AnswerShape& it : aReport.mShapes) {
+    const auto reason = aPool.mOutliers.Take(aNow, it);
+    const Upstream* upstream = aDirectory.FindUpstream(it.mUpstream);
+    if (!reason || upstream == nullptr) {
+      continue;
+    }
+    ++mEjections;
+    mEvents.push_back({ 4104,
+                        absl::StrCat("service=",
+                                     aPool.mName,
+                                     " upstream=",
+                                     upstream->mRecord.mId,
+                                     " ",
+                                     *reason) });
+    const size_t upstreams = aDirectory.UpstreamsOf(aPool.mName).size();
+    if (aPool.mOutliers.ResetIfMostAccused(upstreams)) {
+      mEvents.push_back(
+        { 4105,
+          absl::StrCat("service=", aPool.mName, " upstreams=", upstreams) });
+    }
+  }
+}
+
+std::vector<Event>
+SlotBroker::TakeEvents()
+{
+  return std::exchange(mEvents, {});
+}
+
 void
 SlotBroker::Enqueue(TimePoint aNow,
                     Pool& aPool,
@@ -204,6 +246,7 @@
     candidate.mRecord = upstream;
     const auto load = loads.find(it);
     candidate.mLoad = load == loads.end() ? 0 : load->second;
+    candidate.mStanding = aPool.mOutliers.StandingOf(aNow, it);
     const auto answer = aPool.mAnswerMs.find(it);
     if (answer != aPool.mAnswerMs.end() && aPool.mMeanAnswerMs > 0) {
       candidate.mSlowness = std::clamp(
@@ -314,6 +357,27 @@
     queue.end());
 }
 
+bool
+SlotBroker::IsAvoided(const Candidate& aCandidate, const Waiter& aWaiter)
+{
+  const auto& excluded = aWaiter.mRequest.mExcluded;
+  if (std::find(excluded.begin(), excluded.end(), aCandidate.mUpstream) !=
+      excluded.end()) {
+    return true;
+  }
+  switch (aCandidate.mStanding) {
+    case OutlierDetector::Standing::Ejected:
+      return true;
+    case OutlierDetector::Standing::Probation:
+      // Tried with one flow at a time, of those that may be repeated.
+      return aCandidate.mLoad > 0 || !aWaiter.mRequest.mIsIdempotent;
+    case OutlierDetector::Standing::Doubted:
+    case OutlierDetector::Standing::Trusted:
+      break;
+  }
+  return false;
+}
+
 SlotBroker::Candidate*
 SlotBroker::Choose(TimePoint aNow,
                    Pool& aPool,
@@ -322,42 +386,45 @@
 {
   const Reporter& reporter = aPool.mReporters[aWaiter.mFrom];
   const std::string& domain = reporter.mDomain;
-  const auto& excluded = aWaiter.mRequest.mExcluded;
   Candidate* best = nullptr;
   double bestScore = 0;
-  bool bestIsSilent = true;
+  bool bestIsAvoided = true;
   std::uniform_real_distribution<double> tie(0, 0.01);
   for (Candidate& it : aCandidates) {
     const auto silence =
       aPool.mSilences.find(SilenceKey(reporter.mDomainId, it.mUpstream));
     const bool wasSilent = silence != aPool.mSilences.end();
-    const bool isExcluded =
-      std::find(excluded.begin(), excluded.end(), it.mUpstream) !=
-      excluded.end();
     // A silent upstream is tried with one flow at a time.
-    const bool isSilent =
-      isExcluded ||
+    const bool isAvoided =
+      IsAvoided(it, aWaiter) ||
       (wasSilent && (silence->second.mUntil > aNow || it.mLoad > 0));
     const double slots = std::max(1U, it.mRecord->mRecord.mSlots);
     double score = (it.mLoad + 1) / slots * it.mSlowness + tie(mRandom);
     if (it.mRecord->mRecord.mDomain != domain) {
       score += kOtherDomain;
     }
-    const bool isBetter = best == nullptr || isSilent < bestIsSilent ||
-                          (isSilent == bestIsSilent && score < bestScore);
+    const bool isRisky = it.mStanding == OutlierDetector::Standing::Doubted &&
+                         !aWaiter.mRequest.mIsIdempotent;
+    if (isRisky) {
+      score += kDoubtCost;
+    }
+    const bool isBetter = best == nullptr || isAvoided < bestIsAvoided ||
+                          (isAvoided == bestIsAvoided && score < bestScore);
     if (it.mLoad < it.mLimit && isBetter) {
       best = &it;
       bestScore = score;
-      bestIsSilent = isSilent;
+      bestIsAvoided = isAvoided;
     }
   }
-  // While others are merely busy, waiting beats an upstream that is silent.
+  // While others are merely busy, waiting beats an upstream that is silent or
+  // fails.
   const bool othersAnswer = std::any_of(
     aCandidates.begin(), aCandidates.end(), [&](const Candidate& it) {
-      return aPool.mSilences.count(
+      return !IsAvoided(it, aWaiter) &&
+             aPool.mSilences.count(
                SilenceKey(reporter.mDomainId, it.mUpstream)) == 0;
     });
-  if (best != nullptr && bestIsSilent && othersAnswer) {
+  if (best != nullptr && bestIsAvoided && othersAnswer) {
     return nullptr;
   }
   return best;
--- a/src/net/FlowCodec.cpp
+++ b/src/net/FlowCodec.cpp
@@ -20,7 +20,8 @@
 constexpr int kMostRequests =
   static_cast<int>(flow::FlowBalancer::kMostRequests);
 constexpr int kMostHeld = 40;
-constexpr int kMostAnswers = 16;
+constexpr int kMostAnswers = 12;
+constexpr int kMostShapes = 8;
 constexpr size_t kMostDomainBytes = 64;
 
 uint32_t
@@ -130,6 +131,7 @@
     entry.set_objective_ms(ToWire(it.mObjective));
     entry.set_priority(it.mPriority);
     entry.set_caller_ip(it.mCallerIp);
+    entry.set_not_idempotent(!it.mIsIdempotent);
     for (const flow::Cookie cookie : it.mExcluded) {
       entry.add_excluded(cookie);
     }
@@ -145,6 +147,16 @@
     entry.set_upstream(it.mUpstream);
     entry.set_time_ms(ToWire(it.mTime));
   }
+  for (const flow::AnswerShape& it : aReport.mShapes) {
+    if (out.shapes_size() == kMostShapes) {
+      break;
+    }
+    wire::FlowAnswerShape& entry = *out.add_shapes();
+    entry.set_upstream(it.mUpstream);
+    entry.set_route(it.mRoute);
+    entry.set_work_ms(ToWire(it.mWork));
+    entry.set_bytes(it.mBytes);
+  }
 }
 
 flow::PeerMessage
@@ -167,12 +179,17 @@
         FromWire(it.objective_ms()),
         it.priority(),
         it.caller_ip(),
+        !it.not_idempotent(),
         { it.excluded().begin(), it.excluded().end() } });
   }
   report.mSilent = { aIn.silent().begin(), aIn.silent().end() };
   for (const wire::FlowAnswerTime& it : aIn.answers()) {
     report.mAnswers.push_back({ it.upstream(), FromWire(it.time_ms()) });
   }
+  for (const wire::FlowAnswerShape& it : aIn.shapes()) {
+    report.mShapes.push_back(
+      { it.upstream(), it.route(), FromWire(it.work_ms()), it.bytes() });
+  }
   return report;
 }
 
--- a/tests/FlowWorld.cpp
+++ b/tests/FlowWorld.cpp
@@ -24,6 +24,11 @@
 // Draining is to be respected this long after it was published.
 constexpr milliseconds kDrainBound{ 3000 };
 constexpr int kTries = 3;
+// A failure takes no work and its answer has hardly any bytes.
+constexpr milliseconds kFailureTime{ 1 };
+constexpr uint32_t kFailureBytes = 170;
+constexpr uint32_t kLeastAnswerBytes = 500;
+constexpr uint32_t kAnswerBytesSpread = 1000;
 constexpr const char* kPublisher = "publisher";
 
 bool
@@ -223,6 +228,12 @@
   At(aLapse, [this, aUpstream] { Unpublish(aUpstream); });
 }
 
+void
+FlowWorld::Fail(size_t aUpstream, double aShare)
+{
+  mUpstreams[aUpstream].mFailShare = aShare;
+}
+
 void
 FlowWorld::Reuse(size_t aUpstream)
 {
@@ -645,12 +656,16 @@
     const auto work = std::chrono::duration_cast<Duration>(
       std::chrono::duration<double, std::milli>(
         factor * static_cast<double>(mSettings.mWork.count())));
-    At(work, [this, aUpstream, attempt] { Answer(aUpstream, attempt); });
+    std::bernoulli_distribution failure(upstream.mFailShare);
+    const bool fails = upstream.mFailShare > 0 && failure(mRandom);
+    At(fails ? kFailureTime : work, [this, aUpstream, attempt, fails] {
+      Answer(aUpstream, attempt, fails);
+    });
   }
 }
 
 void
-FlowWorld::Answer(size_t aUpstream, uint64_t aTry)
+FlowWorld::Answer(size_t aUpstream, uint64_t aTry, bool aFails)
 {
   UpstreamState& upstream = mUpstreams[aUpstream];
   --upstream.mBusy;
@@ -658,20 +673,24 @@
   if (!upstream.mIsAlive) {
     return;
   }
-  At(kCallerDelay, [this, aTry] {
+  At(kCallerDelay, [this, aTry, aFails] {
     if (mTries[aTry].mHasEnded) {
       return;
     }
     const Try attempt = mTries[aTry];
-    EndTry(aTry, true, false);
+    mOutcome.mFailed += aFails ? 1 : 0;
+    EndTry(aTry, !aFails, false);
+    const auto more = static_cast<uint32_t>(MixHash(aTry, kAnswerBytesSpread) %
+                                            kAnswerBytesSpread);
+    const uint32_t bytes = aFails ? kFailureBytes : kLeastAnswerBytes + more;
     flow::Packet packet;
     packet.mAcknowledges = true;
     packet.mFinishes = true;
     packet.mKey = attempt.mKey;
     packet.mCookie = attempt.mCookie;
-    packet.mAcknowledgement = attempt.mConfirmed + 1000;
-    const std::string bytes = Encode({ aTry, 'F', 0 });
-    packet.mBytes = bytes;
+    packet.mAcknowledgement = attempt.mConfirmed + bytes;
+    const std::string content = Encode({ aTry, 'F', 0 });
+    packet.mBytes = content;
     SendFromCaller(aTry, packet);
   });
 }
--- a/tests/FlowWorld.h
+++ b/tests/FlowWorld.h
@@ -50,6 +50,8 @@
   // Refused before it was open, in all tries.
   uint64_t mRefused = 0;
   uint64_t mUnanswered = 0;
+  // Answers that say the upstream failed; each ends its request.
+  uint64_t mFailed = 0;
   // Broken promises.
   uint64_t mRunTwice = 0;
   uint64_t mOtherService = 0;
@@ -89,6 +91,9 @@
   void Crash(size_t aUpstream, milliseconds aLapse);
   // The address of a crashed upstream goes to a new one of the other service.
   void Reuse(size_t aUpstream);
+  // The upstream fails this share of its requests at once from now on; its
+  // record stays.
+  void Fail(size_t aUpstream, double aShare);
   // All records go at once and come back later, while upstreams live.
   void LapseAll(milliseconds aBack);
   // The route moves to the other service.
@@ -124,6 +129,7 @@
     bool mIsAlive = true;
     bool mIsDraining = false;
     TimePoint mDrainingSince;
+    double mFailShare = 0;
     std::map<uint64_t, UpstreamFlow> mFlows;
     uint32_t mBusy = 0;
     std::vector<uint64_t> mWaiting;
@@ -179,7 +185,7 @@
   void OnSyn(size_t aUpstream, uint64_t aTry, flow::Cookie aCookie);
   void OnRequest(size_t aUpstream, uint64_t aTry, uint32_t aConfirmed);
   void StartWork(size_t aUpstream);
-  void Answer(size_t aUpstream, uint64_t aTry);
+  void Answer(size_t aUpstream, uint64_t aTry, bool aFails);
   void OnSynAck(uint64_t aTry,
                 size_t aUpstream,
                 flow::Cookie aCookie,
--- a/tests/contracts/FlowFleetTest.cpp
+++ b/tests/contracts/FlowFleetTest.cpp
@@ -195,6 +195,33 @@
   CheckPromises(world.Outcome());
 }
 
+TEST_CASE("Upstreams that fail at once draw few flows", "[flow][fleet][load]")
+{
+  // Two of twelve fail all or two of five of their requests for six seconds.
+  const double failing = GENERATE(1.0, 0.4);
+  const uint64_t seed = GENERATE(1, 2, 3);
+  INFO("share " << failing << " seed " << seed);
+  FlowWorldSettings settings;
+  settings.mSeed = seed;
+  FlowWorld world(settings);
+  world.Run(3s);
+  world.Fail(1, failing);
+  world.Fail(6, failing);
+  world.Run(6s);
+  world.Fail(1, 0);
+  world.Fail(6, 0);
+  const FlowOutcome during = world.Outcome();
+  // A service spreads evenly otherwise: these two would have a sixth of all
+  // flows. At most a fifth of that may reach them.
+  const double even = 6 * settings.mRequestsPerSecond * failing / 6;
+  CHECK(static_cast<double>(during.mFailed) <= even / 5);
+  // They are used again once they work.
+  world.Run(10s);
+  world.Settle();
+  CheckPromises(world.Outcome());
+  CHECK(world.Outcome().mFailed - during.mFailed <= 2);
+}
+
 TEST_CASE("A configuration is in force everywhere within three seconds",
           "[flow][fleet]")
 {
--- /dev/null
+++ b/tests/unit/OutlierDetectorTest.cpp
@@ -0,0 +1,253 @@
+#include <catch2/catch.hpp>
+
+#include <cmath>
+#include <random>
+
+#include "foxtail/flow/OutlierDetector.h"
+
+using namespace foxtail;
+using namespace foxtail::flow;
+using namespace std::chrono_literals;
+
+namespace {
+
+using Standing = OutlierDetector::Standing;
+
+constexpr uint32_t kRoute = 7;
+constexpr Cookie kUpstreams = 12;
+
+// What a service answers: log-normal work and size.
+struct Service
+{
+  const char* mName;
+  double mWorkMs;
+  double mWorkSpread;
+  double mBytes;
+  double mBytesSpread;
+};
+
+const Service kServices[] = {
+  { "look-ups", 47, 0.5, 1000, 0.6 },
+  { "postings", 61, 0.5, 800, 0.01 },
+  { "downloads", 4.2, 0.3, 20000, 0.7 },
+};
+
+// An answer of a failing upstream.
+const AnswerShape kFailure{ 0, kRoute, 1ms, 176 };
+
+class Answers
+{
+public:
+  explicit Answers(const Service& aService)
+    : mService(aService)
+  {
+  }
+
+  AnswerShape Next(Cookie aUpstream)
+  {
+    std::lognormal_distribution<double> work(std::log(mService.mWorkMs),
+                                             mService.mWorkSpread);
+    std::lognormal_distribution<double> bytes(std::log(mService.mBytes),
+                                              mService.mBytesSpread);
+    return { aUpstream,
+             kRoute,
+             milliseconds(std::lround(work(mRandom))),
+             static_cast<uint32_t>(bytes(mRandom)) };
+  }
+
+  // Each upstream but aExcept answers once in 40 ms.
+  TimePoint Run(OutlierDetector& aDetector,
+                TimePoint aNow,
+                Duration aTime,
+                Cookie aExcept = 0)
+  {
+    const TimePoint end = aNow + aTime;
+    for (; aNow < end; aNow += 40ms) {
+      for (Cookie it = 1; it <= kUpstreams; ++it) {
+        if (it != aExcept) {
+          mEjections += aDetector.Take(aNow, Next(it)) ? 1 : 0;
+        }
+      }
+    }
+    return aNow;
+  }
+
+  std::mt19937_64 mRandom{ 5 };
+  int mEjections = 0;
+
+private:
+  Service mService;
+};
+
+AnswerShape
+FailureOf(Cookie aUpstream)
+{
+  AnswerShape failure = kFailure;
+  failure.mUpstream = aUpstream;
+  return failure;
+}
+
+} // namespace
+
+TEST_CASE("An upstream that fails is ejected after a few answers",
+          "[flow][outlier]")
+{
+  const Service& service =
+    kServices[GENERATE(range(size_t{ 0 }, std::size(kServices)))];
+  INFO(service.mName);
+  OutlierDetector detector;
+  Answers answers(service);
+  TimePoint now = answers.Run(detector, TimePoint{ 100s }, 2s);
+  int failures = 0;
+  std::optional<std::string> reason;
+  while (!reason && failures < 10) {
+    reason = detector.Take(now, FailureOf(3));
+    ++failures;
+  }
+  CHECK(failures <= 3);
+  CHECK(detector.StandingOf(now, 3) == Standing::Ejected);
+  CHECK(detector.StandingOf(now, 4) != Standing::Ejected);
+  REQUIRE(reason);
+  CHECK(reason->find("work_ms=1 bytes=176") == 0);
+
+  SECTION("it is back after usual answers")
+  {
+    now += OutlierDetector::kFirstEjection;
+    CHECK(detector.StandingOf(now, 3) == Standing::Probation);
+    for (uint32_t i = 0; i < OutlierDetector::kProbation; ++i) {
+      AnswerShape usual{ 3,
+                         kRoute,
+                         milliseconds(std::lround(service.mWorkMs)),
+                         static_cast<uint32_t>(service.mBytes) };
+      CHECK_FALSE(detector.Take(now, usual));
+    }
+    CHECK(detector.StandingOf(now, 3) == Standing::Trusted);
+  }
+
+  SECTION("one more failure ejects it for twice the time")
+  {
+    now += OutlierDetector::kFirstEjection;
+    CHECK(detector.Take(now, FailureOf(3)));
+    now += OutlierDetector::kFirstEjection;
+    CHECK(detector.StandingOf(now, 3) == Standing::Ejected);
+    now += OutlierDetector::kFirstEjection;
+    CHECK(detector.StandingOf(now, 3) == Standing::Probation);
+  }
+
+  SECTION("answers of flows from before the ejection change nothing")
+  {
+    CHECK_FALSE(detector.Take(now, FailureOf(3)));
+    now += OutlierDetector::kFirstEjection;
+    CHECK(detector.StandingOf(now, 3) == Standing::Probation);
+  }
+}
+
+TEST_CASE("An upstream that fails two of five is ejected soon",
+          "[flow][outlier]")
+{
+  const Service& service =
+    kServices[GENERATE(range(size_t{ 0 }, std::size(kServices)))];
+  INFO(service.mName);
+  constexpr int kTrials = 50;
+  int sum = 0;
+  for (int i = 0; i < kTrials; ++i) {
+    OutlierDetector detector;
+    Answers answers(service);
+    answers.mRandom.seed(static_cast<uint64_t>(i));
+    const TimePoint now = answers.Run(detector, TimePoint{ 100s }, 2s, 3);
+    std::bernoulli_distribution fails(0.4);
+    int asked = 0;
+    bool isEjected = false;
+    while (!isEjected && asked < 100) {
+      const bool failed = fails(answers.mRandom);
+      isEjected =
+        detector.Take(now, failed ? FailureOf(3) : answers.Next(3)).has_value();
+      ++asked;
+    }
+    sum += asked;
+  }
+  CHECK(sum / kTrials <= 12);
+}
+
+TEST_CASE("Healthy upstreams are hardly ever ejected", "[flow][outlier]")
+{
+  const Service& service =
+    kServices[GENERATE(range(size_t{ 0 }, std::size(kServices)))];
+  INFO(service.mName);
+  OutlierDetector detector;
+  Answers answers(service);
+  // 12 upstreams, 25 answers a second each, for 60 s. A false alarm takes one
+  // upstream out for a second or two: one a minute and upstream is 2 to 3 % of
+  // the capacity.
+  answers.Run(detector, TimePoint{ 100s }, 60s);
+  CHECK(answers.mEjections <= static_cast<int>(kUpstreams));
+}
+
+TEST_CASE("A whole answer after hardly any work is not odd", "[flow][outlier]")
+{
+  OutlierDetector detector;
+  Answers answers(kServices[2]);
+  TimePoint now = answers.Run(detector, TimePoint{ 100s }, 2s);
+  for (int i = 0; i < 50; ++i) {
+    now += 40ms;
+    CHECK_FALSE(detector.Take(now, { 3, kRoute, 0ms, 20000 }));
+  }
+  CHECK(detector.StandingOf(now, 3) == Standing::Trusted);
+}
+
+TEST_CASE("One that fails from the start does not become the usual",
+          "[flow][outlier]")
+{
+  OutlierDetector detector;
+  Answers answers(kServices[0]);
+  TimePoint now{ 100s };
+  // It answers ten times as often as the others.
+  int ejections = 0;
+  for (int i = 0; i < 100; ++i, now += 20ms) {
+    for (int j = 0; j < 10; ++j) {
+      ejections += detector.Take(now, FailureOf(1)) ? 1 : 0;
+    }
+    for (Cookie it = 2; it <= kUpstreams; ++it) {
+      detector.Take(now, answers.Next(it));
+    }
+  }
+  CHECK(ejections >= 1);
+  CHECK(detector.StandingOf(now, 1) != Standing::Trusted);
+}
+
+TEST_CASE("When most would be ejected, none is", "[flow][outlier]")
+{
+  OutlierDetector detector;
+  Answers answers(kServices[0]);
+  TimePoint now = answers.Run(detector, TimePoint{ 100s }, 2s);
+  // The service has another release that answers with hardly anything.
+  bool isReset = false;
+  for (int i = 0; i < 20 && !isReset; ++i) {
+    now += 40ms;
+    for (Cookie it = 1; it <= kUpstreams; ++it) {
+      detector.Take(now, FailureOf(it));
+      isReset = isReset || detector.ResetIfMostAccused(kUpstreams);
+    }
+  }
+  REQUIRE(isReset);
+  for (int i = 0; i < 100; ++i) {
+    now += 40ms;
+    for (Cookie it = 1; it <= kUpstreams; ++it) {
+      CHECK_FALSE(detector.Take(now, FailureOf(it)));
+    }
+  }
+}
+
+TEST_CASE("Each route has its own usual answers", "[flow][outlier]")
+{
+  OutlierDetector detector;
+  Answers answers(kServices[0]);
+  TimePoint now = answers.Run(detector, TimePoint{ 100s }, 2s);
+  // A route whose answers are all short and quick, through every upstream.
+  for (int i = 0; i < 200; ++i) {
+    now += 40ms;
+    AnswerShape shape = FailureOf(static_cast<Cookie>(1 + i % kUpstreams));
+    shape.mRoute = kRoute + 1;
+    CHECK_FALSE(detector.Take(now, shape));
+  }
+}
