Eject upstreams that leave requests unanswered; count late answers as slow

Cause: an upstream that takes requests and never answers (hang, reset, mute) kept its place: after three usual answer times the ledger forgot the flow and nothing was said of it. Answers that came after that were not seen either, so an upstream five times as slow looked as quick as its quickest answers.

Ruled out: evidence after the ledger's silence of three answers (one healthy answer in twenty takes longer, and crests would eject healthy upstreams).

--- a/include/foxtail/flow/FlowBalancer.h
+++ b/include/foxtail/flow/FlowBalancer.h
@@ -125,7 +125,14 @@
   // While flows wait for slots anyway, new ones are asked for together.
   static constexpr milliseconds kQueueDelay{ 4 };
   // Requests in one report, so that it fits a datagram; the rest follows.
-  static constexpr size_t kMostRequests = 24;
+  static constexpr size_t kMostRequests = 22;
+  // Answers described, and requests without one named in one report; of the
+  // former the rest follows.
+  static constexpr size_t kMostShapes = 3;
+  static constexpr size_t kMostUnanswered = 4;
+  // Answers that are kept for later reports; any of them tells as much as
+  // another.
+  static constexpr size_t kMostKeptShapes = 64;
   // A released slot is reported with the next request or after this time.
   static constexpr milliseconds kReleaseDelay{ 3 };
   // A balancer that holds slots or waits for some reports this often.
@@ -241,6 +248,7 @@
     std::vector<Cookie> mSilent;
     std::vector<AnswerTime> mAnswers;
     std::vector<AnswerShape> mShapes;
+    std::vector<Cookie> mUnanswered;
   };
 
   void OnMessage(TimePoint aNow, VmIp aFrom, const Beat& aBeat);
@@ -271,6 +279,8 @@
   void ReportDue(TimePoint aNow);
   void Deliver(TimePoint aNow, const std::vector<SlotBroker::Reply>& aReplies);
   void CheckOpenings(TimePoint aNow);
+  // Tells brokers of upstreams that leave requests unanswered.
+  void CheckLedger(TimePoint aNow);
   void CheckAccounts(TimePoint aNow);
   // Tells new brokers what is held here.
   void CheckBrokers(TimePoint aNow);
--- a/include/foxtail/flow/Ledger.h
+++ b/include/foxtail/flow/Ledger.h
@@ -52,6 +52,11 @@
   // Bounds of the time that this gives.
   static constexpr milliseconds kLeastBusy{ 180 };
   static constexpr milliseconds kMostBusy{ 2000 };
+  // A request without an answer for this many usual answer times is taken as
+  // unanswered: one in 300 answers takes longer.
+  static constexpr int kOverdueAnswers = 8;
+  static constexpr milliseconds kLeastOverdue{ 500 };
+  static constexpr milliseconds kMostOverdue{ 4000 };
   // Idle flows are forgotten sooner than callers close them; the next request
   // makes them known again.
   static constexpr seconds kIdleSilence{ 10 };
@@ -62,13 +67,22 @@
   void Withdraw(const FlowKey& aKey);
   // A packet other than an opening one passes to this upstream.
   FlowProgress Pass(TimePoint aNow, const Packet& aPacket, Cookie aUpstream);
-  // Drops silent flows; returns whether a slot became free.
-  bool Expire(TimePoint aNow);
+  struct Expired
+  {
+    // A slot became free.
+    bool mReleased = false;
+    // Upstreams of requests that were not answered, once for each request.
+    std::vector<Cookie> mUnanswered;
+  };
+  // Drops silent flows.
+  Expired Expire(TimePoint aNow);
 
   uint32_t Held(Cookie aUpstream) const;
   size_t Flows() const { return mFlows.size(); }
-  // Silence after which a busy flow is forgotten.
+  // Silence after which a busy flow no longer holds its slot.
   Duration BusySilence() const;
+  // Time after which a request is taken as unanswered.
+  Duration OverdueTime() const;
 
 private:
   enum class Phase
@@ -77,6 +91,8 @@
     Opening,
     // A request is at the upstream.
     Busy,
+    // A request is unanswered for so long that it no longer counts.
+    Overdue,
     // Open, with nothing to do.
     Idle
   };
@@ -105,7 +121,10 @@
   void Erase(FlowMap::iterator aFlow);
   // The answer that the caller has now, if the flow has had one.
   static std::optional<FlowProgress::WholeAnswer> AnswerOf(const Flow& aFlow);
-  static bool Holds(Phase aPhase) { return aPhase != Phase::Idle; }
+  static bool Holds(Phase aPhase)
+  {
+    return aPhase == Phase::Opening || aPhase == Phase::Busy;
+  }
 
   FlowMap mFlows;
   std::unordered_map<Cookie, uint32_t> mHeld;
--- a/include/foxtail/flow/OutlierDetector.h
+++ b/include/foxtail/flow/OutlierDetector.h
@@ -13,8 +13,9 @@
 namespace foxtail::flow {
 
 // Finds the upstreams of one service that answer at once with next to nothing,
-// as one does that fails its requests. Such an upstream has free slots all the
-// time, so it would draw most new flows to it. Each route's usual answers are
+// as one does that fails its requests, or that take requests and don't answer
+// them. The former has free slots all the time, so it would draw most new flows
+// to it. Each route's usual answers are
 // learned from all upstreams; those of one upstream are tested against them
 // with a cumulative sum of likelihood ratios. An upstream that is found is
 // ejected for a while and then has to prove itself with a few answers. Not
@@ -68,6 +69,10 @@
   // text.
   std::optional<std::string> Take(TimePoint aNow, const AnswerShape& aAnswer);
 
+  // The upstream took a request and did not answer it for a time in which
+  // nearly all answers come. Returns as Take does.
+  std::optional<std::string> TakeUnanswered(TimePoint aNow, Cookie aUpstream);
+
   Standing StandingOf(TimePoint aNow, Cookie aUpstream) const;
 
   // When more than half of the service's upstreams are ejected or on
@@ -98,14 +103,20 @@
 
   static bool IsOdd(const Reference& aReference, const AnswerShape& aAnswer);
   // Adds an answer to what is usual.
-  void Learn(TimePoint aNow, Reference& aReference, const AnswerShape& aAnswer);
-  static void Eject(TimePoint aNow, Suspect& aSuspect);
+  void Learn(Reference& aReference, const AnswerShape& aAnswer);
+  // Whether this upstream may add to what is usual now.
+  bool MayVote(TimePoint aNow, Cookie aUpstream);
+  // Adds to the evidence against an upstream, given the share of healthy ones
+  // that do the same. Returns whether that ejects it.
+  bool Accuse(TimePoint aNow, Cookie aUpstream, double aUsualShare);
   // A usual answer of a suspect.
   void Clear(TimePoint aNow, Cookie aUpstream, double aUsualShare);
 
   std::unordered_map<uint32_t, Reference> mReferences;
   std::unordered_map<Cookie, Suspect> mSuspects;
   std::unordered_map<Cookie, TimePoint> mVotedAt;
+  // Share of requests that healthy upstreams leave unanswered.
+  double mUnansweredShare = kLeastUsualShare;
 };
 
 } // namespace foxtail::flow
--- a/include/foxtail/flow/PeerMessages.h
+++ b/include/foxtail/flow/PeerMessages.h
@@ -99,6 +99,8 @@
   std::vector<Cookie> mSilent;
   std::vector<AnswerTime> mAnswers;
   std::vector<AnswerShape> mShapes;
+  // Upstreams that left requests unanswered, once for each request.
+  std::vector<Cookie> mUnanswered;
 };
 
 struct SlotGrant
--- a/include/foxtail/flow/SlotBroker.h
+++ b/include/foxtail/flow/SlotBroker.h
@@ -39,7 +39,7 @@
   static constexpr milliseconds kLongestWait{ 1000 };
   // Mean answer times that must remain for a flow to be in time: three of four
   // answers take less.
-  static constexpr double kWorkReserve = 1.5;
+  static constexpr double kWorkReserve = 1.25;
   // A queue stands when a flow has waited for this part of its objective; that
   // much is lost to no one's harm.
   static constexpr int kStandingPart = 4;
@@ -154,10 +154,16 @@
   };
 
   void Learn(TimePoint aNow, Pool& aPool, const SlotReport& aReport);
-  void LearnShapes(TimePoint aNow,
-                   Pool& aPool,
-                   const SlotReport& aReport,
-                   const Directory& aDirectory);
+  // Tests upstreams by their answers and by requests without one.
+  void JudgeUpstreams(TimePoint aNow,
+                      Pool& aPool,
+                      const SlotReport& aReport,
+                      const Directory& aDirectory);
+  // Says that an upstream was ejected, if there is a reason for it.
+  void NoteEjection(Pool& aPool,
+                    const Directory& aDirectory,
+                    Cookie aUpstream,
+                    const std::optional<std::string>& aReason);
   void Enqueue(TimePoint aNow,
                Pool& aPool,
                VmIp aFrom,
--- a/src/flow/FlowBalancer.cpp
+++ b/src/flow/FlowBalancer.cpp
@@ -162,7 +162,7 @@
     return;
   }
   Account& account = AccountOf(aUpstream.mRecord.mService);
-  if (progress.mWhole) {
+  if (progress.mWhole && account.mShapes.size() < kMostKeptShapes) {
     account.mShapes.push_back({ aUpstream.mCookie,
                                 RouteId(aPacket.mKey.mService),
                                 ToMilliseconds(progress.mWhole->mWork),
@@ -397,6 +397,28 @@
   }
 }
 
+void
+FlowBalancer::CheckLedger(TimePoint aNow)
+{
+  const Ledger::Expired expired = mLedger.Expire(aNow);
+  // The fabric took the packets of some flows to other balancers lately.
+  const bool mayHaveMoved =
+    aNow - mFleet.DomainChangedAt() < kRotationSettles + mLedger.OverdueTime();
+  if (mayHaveMoved) {
+    return;
+  }
+  for (const Cookie it : expired.mUnanswered) {
+    const Upstream* upstream = mDirectory.FindUpstream(it);
+    if (upstream == nullptr) {
+      continue;
+    }
+    Account& account = AccountOf(upstream->mRecord.mService);
+    if (account.mUnanswered.size() < kMostUnanswered) {
+      account.mUnanswered.push_back(it);
+    }
+  }
+}
+
 FlowActions
 FlowBalancer::OnTimer(TimePoint aNow)
 {
@@ -411,7 +433,7 @@
   CheckAccounts(aNow);
   if (aNow >= mNextHousekeeping) {
     mNextHousekeeping = aNow + kHousekeeping;
-    mLedger.Expire(aNow);
+    CheckLedger(aNow);
     mDirectory.Expire(aNow);
     for (Event& it : mFleet.Expire(aNow)) {
       mActions.push_back(LogLine{ std::move(it) });
--- a/src/flow/FlowBrokering.cpp
+++ b/src/flow/FlowBrokering.cpp
@@ -1,6 +1,7 @@
 #include "foxtail/flow/FlowBalancer.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "absl/strings/str_cat.h"
 
@@ -83,10 +84,14 @@
   report.mIsWhole = aAccount.mMustTellAll && unasked == 0;
   report.mSilent = std::move(aAccount.mSilent);
   report.mAnswers = std::move(aAccount.mAnswers);
-  report.mShapes = std::move(aAccount.mShapes);
+  const auto shapes = aAccount.mShapes.begin();
+  const auto told = shapes + static_cast<ptrdiff_t>(
+                               std::min(aAccount.mShapes.size(), kMostShapes));
+  report.mUnanswered = std::exchange(aAccount.mUnanswered, {});
+  report.mShapes.assign(shapes, told);
+  aAccount.mShapes.erase(shapes, told);
   aAccount.mSilent.clear();
   aAccount.mAnswers.clear();
-  aAccount.mShapes.clear();
   if (!report.mRequests.empty()) {
     aAccount.mLastAsked = report.mSequence;
     if (!aAccount.mAwaitsSince) {
--- a/src/flow/Ledger.cpp
+++ b/src/flow/Ledger.cpp
@@ -55,11 +55,12 @@
     static_cast<int32_t>(aPacket.mAcknowledgement - flow.mAcknowledged);
   if (gained > 0) {
     flow.mAcknowledged = aPacket.mAcknowledgement;
-    if (flow.mPhase == Phase::Busy) {
+    if (flow.mPhase == Phase::Busy || flow.mPhase == Phase::Overdue) {
       progress.mAnswer = aNow - flow.mPhaseSince;
-      flow.mAnswer = *progress.mAnswer;
-      mAnswer += (*progress.mAnswer - mAnswer) / 16;
-      progress.mReleased = true;
+      flow.mAnswer = aNow - flow.mPhaseSince;
+      if (Holds(flow.mPhase))
+        mAnswer += (*progress.mAnswer - mAnswer) / 16;
+      progress.mReleased = Holds(flow.mPhase);
       SetPhase(aNow, flow, Phase::Idle);
     }
   }
@@ -91,22 +92,43 @@
                                     aFlow.mAcknowledged - aFlow.mRequestBegan };
 }
 
-bool
+Ledger::Expired
 Ledger::Expire(TimePoint aNow)
 {
-  bool released = false;
+  Expired expired;
   for (auto it = mFlows.begin(); it != mFlows.end();) {
-    const Flow& flow = it->second;
-    const bool holds = Holds(flow.mPhase);
-    const Duration limit = holds ? BusySilence() : kIdleSilence;
+    Flow& flow = it->second;
     const auto next = std::next(it);
-    if (aNow - flow.mLastPacket >= limit) {
-      released |= holds;
-      Erase(it);
+    const Duration silent = aNow - flow.mLastPacket;
+    switch (flow.mPhase) {
+      case Phase::Opening:
+      case Phase::Busy:
+        if (silent < BusySilence()) {
+          break;
+        }
+        expired.mReleased = true;
+        // Only a flow that opened here is known to send its packets here.
+        if (flow.mPhase == Phase::Busy && flow.mHandshake) {
+          SetPhase(flow.mPhaseSince, flow, Phase::Overdue);
+        } else {
+          Erase(it);
+        }
+        break;
+      case Phase::Overdue:
+        if (aNow - flow.mPhaseSince >= OverdueTime()) {
+          expired.mUnanswered.push_back(flow.mUpstream);
+          Erase(it);
+        }
+        break;
+      case Phase::Idle:
+        if (silent >= kIdleSilence) {
+          Erase(it);
+        }
+        break;
     }
     it = next;
   }
-  return released;
+  return expired;
 }
 
 Duration
@@ -115,6 +137,13 @@
   return std::clamp<Duration>(kBusyAnswers * mAnswer, kLeastBusy, kMostBusy);
 }
 
+Duration
+Ledger::OverdueTime() const
+{
+  return std::clamp<Duration>(
+    kOverdueAnswers * mAnswer, kLeastOverdue, kMostOverdue);
+}
+
 uint32_t
 Ledger::Held(Cookie aUpstream) const
 {
--- a/src/flow/OutlierDetector.cpp
+++ b/src/flow/OutlierDetector.cpp
@@ -67,16 +67,25 @@
   return isQuick || LogBytes(aAnswer) < aReference.mBytes + part;
 }
 
-void
-OutlierDetector::Learn(TimePoint aNow,
-                       Reference& aReference,
-                       const AnswerShape& aAnswer)
+bool
+OutlierDetector::MayVote(TimePoint aNow, Cookie aUpstream)
 {
-  TimePoint& votedAt = mVotedAt[aAnswer.mUpstream];
+  // One that fails would soon make its answers the usual ones.
+  if (mSuspects.count(aUpstream) > 0) {
+    return false;
+  }
+  TimePoint& votedAt = mVotedAt[aUpstream];
   if (aNow - votedAt < kVoteGap) {
-    return;
+    return false;
   }
   votedAt = aNow;
+  return true;
+}
+
+void
+OutlierDetector::Learn(Reference& aReference, const AnswerShape& aAnswer)
+{
+  mUnansweredShare -= kShareStep * mUnansweredShare;
   if (aReference.mIsLearned) {
     FollowQuartile(aReference.mWork, LogWork(aAnswer));
     FollowQuartile(aReference.mBytes, LogBytes(aAnswer));
@@ -98,35 +107,17 @@
 OutlierDetector::Take(TimePoint aNow, const AnswerShape& aAnswer)
 {
   Reference& reference = mReferences[aAnswer.mRoute];
-  const bool isSuspect = mSuspects.count(aAnswer.mUpstream) > 0;
-  // One that fails would soon make its answers the usual ones.
-  if (!isSuspect) {
-    Learn(aNow, reference, aAnswer);
-  }
-  if (!reference.mIsLearned) {
-    return std::nullopt;
-  }
-  const bool isOdd = IsOdd(reference, aAnswer);
-  const double usual = std::max(reference.mOddShare, kLeastUsualShare);
-  if (usual > kMostUsualShare || (!isSuspect && !isOdd)) {
-    return std::nullopt;
-  }
-  Suspect& suspect = mSuspects[aAnswer.mUpstream];
-  const bool isLeftOver = suspect.mEjectedUntil > aNow;
-  if (isLeftOver) {
-    return std::nullopt;
+  if (MayVote(aNow, aAnswer.mUpstream)) {
+    Learn(reference, aAnswer);
   }
+  const bool isOdd = reference.mIsLearned && IsOdd(reference, aAnswer);
   if (!isOdd) {
-    Clear(aNow, aAnswer.mUpstream, usual);
+    Clear(aNow, aAnswer.mUpstream, reference.mOddShare);
     return std::nullopt;
   }
-  suspect.mLastOdd = aNow;
-  suspect.mEvidence += std::log(kFailingShare / usual);
-  const bool isFound = suspect.mEvidence >= kEjectAt || suspect.mToProve > 0;
-  if (!isFound) {
+  if (!Accuse(aNow, aAnswer.mUpstream, reference.mOddShare)) {
     return std::nullopt;
   }
-  Eject(aNow, suspect);
   return absl::StrCat("work_ms=",
                       aAnswer.mWork.count(),
                       " bytes=",
@@ -138,26 +129,64 @@
                       " usual_odd_share=",
                       reference.mOddShare,
                       " ejections=",
-                      suspect.mEjections);
+                      mSuspects.at(aAnswer.mUpstream).mEjections);
 }
 
-void
-OutlierDetector::Eject(TimePoint aNow, Suspect& aSuspect)
+std::optional<std::string>
+OutlierDetector::TakeUnanswered(TimePoint aNow, Cookie aUpstream)
+{
+  if (MayVote(aNow, aUpstream)) {
+    mUnansweredShare += kShareStep * (1 - mUnansweredShare);
+  }
+  if (!Accuse(aNow, aUpstream, mUnansweredShare)) {
+    return std::nullopt;
+  }
+  return absl::StrCat("unanswered=1 usual_unanswered_share=",
+                      mUnansweredShare,
+                      " ejections=",
+                      mSuspects.at(aUpstream).mEjections);
+}
+
+bool
+OutlierDetector::Accuse(TimePoint aNow, Cookie aUpstream, double aUsualShare)
 {
+  // When healthy upstreams do the same, it tells nothing.
+  if (aUsualShare > kMostUsualShare) {
+    return false;
+  }
+  Suspect& suspect = mSuspects[aUpstream];
+  const bool isLeftOver = suspect.mEjectedUntil > aNow;
+  if (isLeftOver) {
+    return false;
+  }
+  suspect.mLastOdd = aNow;
+  suspect.mEvidence +=
+    std::log(kFailingShare / std::max(aUsualShare, kLeastUsualShare));
+  const bool isFound = suspect.mEvidence >= kEjectAt || suspect.mToProve > 0;
+  if (!isFound) {
+    return false;
+  }
   const Duration time = std::min<Duration>(
-    Duration(kFirstEjection) * (1U << std::min(aSuspect.mEjections, 4U)),
+    Duration(kFirstEjection) * (1U << std::min(suspect.mEjections, 4U)),
     kLongestEjection);
-  ++aSuspect.mEjections;
-  aSuspect.mEjectedUntil = aNow + time;
-  aSuspect.mToProve = kProbation;
-  aSuspect.mEvidence = 0;
+  ++suspect.mEjections;
+  suspect.mEjectedUntil = aNow + time;
+  suspect.mToProve = kProbation;
+  suspect.mEvidence = 0;
+  return true;
 }
 
 void
 OutlierDetector::Clear(TimePoint aNow, Cookie aUpstream, double aUsualShare)
 {
-  Suspect& suspect = mSuspects.at(aUpstream);
-  const double change = std::log((1 - kFailingShare) / (1 - aUsualShare));
+  const auto it = mSuspects.find(aUpstream);
+  if (it == mSuspects.end() || it->second.mEjectedUntil > aNow) {
+    return;
+  }
+  Suspect& suspect = it->second;
+  const double usual =
+    std::clamp(aUsualShare, kLeastUsualShare, kMostUsualShare);
+  const double change = std::log((1 - kFailingShare) / (1 - usual));
   suspect.mEvidence = std::max(0.0, suspect.mEvidence + change);
   if (suspect.mToProve > 0) {
     --suspect.mToProve;
@@ -165,7 +194,7 @@
   const bool isForgotten =
     suspect.mEjections == 0 || aNow - suspect.mLastOdd >= kForget;
   if (suspect.mEvidence == 0 && suspect.mToProve == 0 && isForgotten) {
-    mSuspects.erase(aUpstream);
+    mSuspects.erase(it);
   }
 }
 
@@ -199,6 +228,7 @@
   mSuspects.clear();
   mReferences.clear();
   mVotedAt.clear();
+  mUnansweredShare = kLeastUsualShare;
   return true;
 }
 
--- a/src/flow/SlotBroker.cpp
+++ b/src/flow/SlotBroker.cpp
@@ -92,7 +92,7 @@
                 pending.end());
   reporter.mReplyDue = !aReport.mRequests.empty();
   Learn(aNow, pool, aReport);
-  LearnShapes(aNow, pool, aReport, aDirectory);
+  JudgeUpstreams(aNow, pool, aReport, aDirectory);
   Enqueue(aNow, pool, aFrom, aReport);
   Schedule(aNow, pool, aDirectory);
   return Replies(aReport.mService, pool);
@@ -123,31 +123,44 @@
 }
 
 void
-SlotBroker::LearnShapes(TimePoint aNow,
-                        Pool& aPool,
-                        const SlotReport& aReport,
-                        const Directory& aDirectory)
+SlotBroker::JudgeUpstreams(TimePoint aNow,
+                           Pool& aPool,
+                           const SlotReport& aReport,
+                           const Directory& aDirectory)
 {
   for (const AnswerShape& it : aReport.mShapes) {
-    const auto reason = aPool.mOutliers.Take(aNow, it);
-    const Upstream* upstream = aDirectory.FindUpstream(it.mUpstream);
-    if (!reason || upstream == nullptr) {
-      continue;
-    }
-    ++mEjections;
-    mEvents.push_back({ 4104,
-                        absl::StrCat("service=",
-                                     aPool.mName,
-                                     " upstream=",
-                                     upstream->mRecord.mId,
-                                     " ",
-                                     *reason) });
-    const size_t upstreams = aDirectory.UpstreamsOf(aPool.mName).size();
-    if (aPool.mOutliers.ResetIfMostAccused(upstreams)) {
-      mEvents.push_back(
-        { 4105,
-          absl::StrCat("service=", aPool.mName, " upstreams=", upstreams) });
-    }
+    NoteEjection(
+      aPool, aDirectory, it.mUpstream, aPool.mOutliers.Take(aNow, it));
+  }
+  for (const Cookie it : aReport.mUnanswered) {
+    NoteEjection(
+      aPool, aDirectory, it, aPool.mOutliers.TakeUnanswered(aNow, it));
+  }
+}
+
+void
+SlotBroker::NoteEjection(Pool& aPool,
+                         const Directory& aDirectory,
+                         Cookie aUpstream,
+                         const std::optional<std::string>& aReason)
+{
+  const Upstream* upstream = aDirectory.FindUpstream(aUpstream);
+  if (!aReason || upstream == nullptr) {
+    return;
+  }
+  ++mEjections;
+  mEvents.push_back({ 4104,
+                      absl::StrCat("service=",
+                                   aPool.mName,
+                                   " upstream=",
+                                   upstream->mRecord.mId,
+                                   " ",
+                                   *aReason) });
+  const size_t upstreams = aDirectory.UpstreamsOf(aPool.mName).size();
+  if (aPool.mOutliers.ResetIfMostAccused(upstreams)) {
+    mEvents.push_back(
+      { 4105,
+        absl::StrCat("service=", aPool.mName, " upstreams=", upstreams) });
   }
 }
 
--- a/src/net/FlowCodec.cpp
+++ b/src/net/FlowCodec.cpp
@@ -20,8 +20,10 @@
 constexpr int kMostRequests =
   static_cast<int>(flow::FlowBalancer::kMostRequests);
 constexpr int kMostHeld = 40;
-constexpr int kMostAnswers = 12;
-constexpr int kMostShapes = 8;
+constexpr int kMostAnswers = 10;
+constexpr int kMostUnanswered =
+  static_cast<int>(flow::FlowBalancer::kMostUnanswered);
+constexpr int kMostShapes = static_cast<int>(flow::FlowBalancer::kMostShapes);
 constexpr size_t kMostDomainBytes = 64;
 
 uint32_t
@@ -157,6 +159,12 @@
     entry.set_work_ms(ToWire(it.mWork));
     entry.set_bytes(it.mBytes);
   }
+  for (const flow::Cookie it : aReport.mUnanswered) {
+    if (out.unanswered_size() == kMostUnanswered) {
+      break;
+    }
+    out.add_unanswered(it);
+  }
 }
 
 flow::PeerMessage
@@ -190,6 +198,7 @@
     report.mShapes.push_back(
       { it.upstream(), it.route(), FromWire(it.work_ms()), it.bytes() });
   }
+  report.mUnanswered = { aIn.unanswered().begin(), aIn.unanswered().end() };
   return report;
 }
 
--- a/tests/unit/FlowCodecTest.cpp
+++ b/tests/unit/FlowCodecTest.cpp
@@ -35,6 +35,7 @@
   report.mSilent = { 4 };
   report.mAnswers = { { 1, 60ms } };
   report.mShapes = { { 1, 55, 50ms, 900 } };
+  report.mUnanswered = { 6 };
   SlotReply reply;
   reply.mIncarnation = 1000;
   reply.mSequence = 3;
@@ -65,6 +66,7 @@
   CHECK(report.mShapes.at(0).mRoute == 55);
   CHECK(report.mShapes.at(0).mWork == 50ms);
   CHECK(report.mShapes.at(0).mBytes == 900);
+  CHECK(report.mUnanswered == std::vector<Cookie>{ 6 });
   CHECK(report.mHeld.at(1).mCount == 4);
 }
 
@@ -75,6 +77,7 @@
   report.mRequests.resize(500, report.mRequests[0]);
   report.mHeld.resize(500, { 0xFFFFFFFF, 1000 });
   report.mAnswers.resize(500, report.mAnswers[0]);
+  report.mUnanswered.resize(500, 0xFFFFFFFF);
   report.mShapes.resize(500, { 0xFFFFFFFF, 0xFFFFFFFF, 1h, 0xFFFFFFFF });
   CHECK(EncodeFlowMessage(report).size() <= kMaxFlowMessage);
 }
--- a/tests/unit/FlowLedgerTest.cpp
+++ b/tests/unit/FlowLedgerTest.cpp
@@ -81,9 +81,9 @@
 {
   Ledger ledger;
   ledger.Place(kStart, kKey, kUpstream);
-  CHECK_FALSE(ledger.Expire(kStart + ledger.BusySilence() - 1ms));
+  CHECK_FALSE(ledger.Expire(kStart + ledger.BusySilence() - 1ms).mReleased);
   CHECK(ledger.Held(kUpstream) == 1);
-  CHECK(ledger.Expire(kStart + ledger.BusySilence()));
+  CHECK(ledger.Expire(kStart + ledger.BusySilence()).mReleased);
   CHECK(ledger.Held(kUpstream) == 0);
   CHECK(ledger.Flows() == 0);
 }
@@ -105,3 +105,36 @@
   const auto third = ledger.Pass(kStart + 80ms, MakePacket(2050, 0), kUpstream);
   CHECK_FALSE(third.mAnswer);
 }
+
+TEST_CASE("A request without an answer is told once", "[flow][ledger]")
+{
+  Ledger ledger;
+  ledger.Place(kStart, kKey, kUpstream);
+  ledger.Pass(kStart + 5ms, MakePacket(1, 100), kUpstream);
+  const Duration silence = ledger.BusySilence();
+  const TimePoint silent = kStart + 5ms + silence;
+  const Ledger::Expired released = ledger.Expire(silent);
+  CHECK(released.mReleased);
+  CHECK(released.mUnanswered.empty());
+  CHECK(ledger.Held(kUpstream) == 0);
+
+  SECTION("after a time in which nearly all answers come")
+  {
+    const TimePoint overdue = kStart + 5ms + ledger.OverdueTime();
+    CHECK(ledger.Expire(overdue - 1ms).mUnanswered.empty());
+    CHECK(ledger.Expire(overdue).mUnanswered ==
+          std::vector<Cookie>{ kUpstream });
+    CHECK(ledger.Expire(overdue + 1s).mUnanswered.empty());
+  }
+  SECTION("but not when the answer is merely late")
+  {
+    const FlowProgress progress =
+      ledger.Pass(silent + 1ms, MakePacket(900, 0, true), kUpstream);
+    REQUIRE(progress.mAnswer);
+    CHECK_FALSE(progress.mReleased);
+    REQUIRE(progress.mWhole);
+    CHECK(progress.mWhole->mBytes == 899);
+    CHECK(progress.mWhole->mWork == silence - 4ms);
+    CHECK(ledger.Expire(kStart + 10s).mUnanswered.empty());
+  }
+}
--- a/tests/unit/OutlierDetectorTest.cpp
+++ b/tests/unit/OutlierDetectorTest.cpp
@@ -183,6 +183,50 @@
   CHECK(answers.mEjections <= static_cast<int>(kUpstreams));
 }
 
+TEST_CASE("An upstream that leaves two of five unanswered is ejected soon",
+          "[flow][outlier]")
+{
+  OutlierDetector detector;
+  Answers answers(kServices[0]);
+  const TimePoint now = answers.Run(detector, TimePoint{ 100s }, 2s);
+  std::bernoulli_distribution fails(0.4);
+  int asked = 0;
+  std::optional<std::string> reason;
+  while (!reason && asked < 100) {
+    ++asked;
+    reason = fails(answers.mRandom) ? detector.TakeUnanswered(now, 3)
+                                    : detector.Take(now, answers.Next(3));
+  }
+  CHECK(asked <= 20);
+  CHECK(detector.StandingOf(now, 3) == Standing::Ejected);
+}
+
+TEST_CASE("When many leave requests unanswered, none is ejected for it",
+          "[flow][outlier]")
+{
+  OutlierDetector detector;
+  Answers answers(kServices[0]);
+  TimePoint now = answers.Run(detector, TimePoint{ 100s }, 2s);
+  // A crest: a third of all requests is overdue at each upstream.
+  std::bernoulli_distribution isOverdue(0.33);
+  for (int i = 0; i < 250; ++i) {
+    now += 40ms;
+    for (Cookie it = 1; it <= kUpstreams; ++it) {
+      if (isOverdue(answers.mRandom)) {
+        detector.TakeUnanswered(now, it);
+      } else {
+        detector.Take(now, answers.Next(it));
+      }
+      detector.ResetIfMostAccused(kUpstreams);
+    }
+  }
+  int ejected = 0;
+  for (Cookie it = 1; it <= kUpstreams; ++it) {
+    ejected += detector.StandingOf(now, it) == Standing::Ejected ? 1 : 0;
+  }
+  CHECK(ejected <= static_cast<int>(kUpstreams) / 4);
+}
+
 TEST_CASE("A whole answer after hardly any work is not odd", "[flow][outlier]")
 {
   OutlierDetector detector;
