Find an upstream by its cookie without its name

Each decision looked every upstream up by cookie and then by name in a tree of strings. The cookie's entry points to the upstream now; such a directory is moved, not copied.

--- a/include/foxtail/flow/Directory.h
+++ b/include/foxtail/flow/Directory.h
@@ -33,6 +33,10 @@
 class Directory
 {
 public:
+  Directory() = default;
+  Directory(Directory&&) = default;
+  Directory& operator=(Directory&&) = default;
+
   // A record that goes without a notice may be the publisher's mistake: live
   // upstreams publish themselves anew within this time.
   static constexpr milliseconds kReturnTime{ 2200 };
@@ -89,7 +93,8 @@
   bool IsKnown(Revision aRevision) const;
 
   std::map<std::string, Upstream> mUpstreams;
-  std::unordered_map<Cookie, std::string> mByCookie;
+  // Into mUpstreams, whose entries stay where they are.
+  std::unordered_map<Cookie, const Upstream*> mByCookie;
   std::map<std::string, std::vector<Cookie>> mByService;
   std::optional<Configuration> mConfiguration;
   std::map<Address, size_t> mRoutes;
--- a/src/flow/Directory.cpp
+++ b/src/flow/Directory.cpp
@@ -227,14 +227,15 @@
   mByCookie.clear();
   mByService.clear();
   for (auto& [id, upstream] : mUpstreams) {
-    const auto [it, isFirst] = mByCookie.emplace(upstream.mCookie, id);
+    const auto [it, isFirst] = mByCookie.emplace(upstream.mCookie, &upstream);
     upstream.mCollides = !isFirst;
     if (isFirst) {
       mByService[upstream.mRecord.mService].push_back(upstream.mCookie);
       continue;
     }
     mEvents.push_back(
-      { 2103, absl::StrCat("upstream=", id, " other=", it->second) });
+      { 2103,
+        absl::StrCat("upstream=", id, " other=", it->second->mRecord.mId) });
   }
 }
 
@@ -296,7 +297,7 @@
 Directory::FindUpstream(Cookie aCookie) const
 {
   const auto it = mByCookie.find(aCookie);
-  return it == mByCookie.end() ? nullptr : &mUpstreams.at(it->second);
+  return it == mByCookie.end() ? nullptr : it->second;
 }
 
 const std::vector<Cookie>&
--- a/src/flow/SlotBroker.cpp
+++ b/src/flow/SlotBroker.cpp
@@ -240,6 +240,7 @@
                        const Directory& aDirectory) const
 {
   std::unordered_map<Cookie, uint32_t> loads;
+  loads.reserve(aDirectory.UpstreamsOf(aPool.mName).size());
   for (const auto& [ip, reporter] : aPool.mReporters) {
     for (const SlotCount& it : reporter.mHeld) {
       loads[it.mUpstream] += it.mCount;
@@ -249,6 +250,7 @@
     }
   }
   std::vector<Candidate> candidates;
+  candidates.reserve(aDirectory.UpstreamsOf(aPool.mName).size());
   for (const Cookie it : aDirectory.UpstreamsOf(aPool.mName)) {
     const Upstream* upstream = aDirectory.FindUpstream(it);
     if (!Directory::TakesNewFlows(*upstream, aNow)) {
