--- a/include/foxtail/flow/OutlierDetector.h
+++ b/include/foxtail/flow/OutlierDetector.h
@@ -15,11 +15,10 @@
 // Finds the upstreams of one service that answer at once with next to nothing,
 // as one does that fails its requests, or that take requests and don't answer
 // them. The former has free slots all the time, so it would draw most new flows
-// to it. Each route's usual answers are
-// learned from all upstreams; those of one upstream are tested against them
-// with a cumulative sum of likelihood ratios. An upstream that is found is
-// ejected for a while and then has to prove itself with a few answers. Not
-// thread-safe.
+// to it. Each route's usual answers are learned from all upstreams; those of
+// one upstream are tested against them with a cumulative sum of likelihood
+// ratios. An upstream that is found is ejected for a while and then has to
+// prove itself with a few answers. Not thread-safe.
 class OutlierDetector
 {
 public:
@@ -54,14 +53,18 @@
   static constexpr uint32_t kProbation = 4;
   // Without another odd answer, earlier ejections are forgotten.
   static constexpr seconds kForget{ 30 };
+  // Routes and upstreams without an answer for this long are gone or unused;
+  // they are learned anew in seconds.
+  static constexpr seconds kForgetUnused{ 600 };
 
   enum class Standing
   {
     Trusted,
-    // Answered oddly of late, or is back from an ejection and has to prove
-    // itself.
+    // Answered oddly of late, which is not enough to eject it.
     Doubted,
+    // Back from an ejection, with usual answers still to come.
     Probation,
+    // Gets no new flows for now.
     Ejected
   };
 
@@ -80,6 +83,14 @@
   // known is dropped. Returns whether it was.
   bool ResetIfMostAccused(size_t aUpstreams);
 
+  // Drops what has been unused for long.
+  void Forget(TimePoint aNow);
+  // Routes, suspects and upstreams that are remembered, together.
+  size_t Remembered() const
+  {
+    return mReferences.size() + mSuspects.size() + mVotedAt.size();
+  }
+
 private:
   // Usual answers of a route.
   struct Reference
@@ -91,6 +102,7 @@
     double mWork = 0;
     double mBytes = 0;
     double mOddShare = kLeastUsualShare;
+    TimePoint mUsedAt;
   };
   struct Suspect
   {
--- a/include/foxtail/flow/SlotBroker.h
+++ b/include/foxtail/flow/SlotBroker.h
@@ -52,6 +52,8 @@
   // A caller that was refused tries again at once; its next new flow within
   // this time counts as the same request. A few round trips to a caller.
   static constexpr milliseconds kNextTry{ 60 };
+  // How often what is known of upstreams that are gone is dropped.
+  static constexpr seconds kForgetPeriod{ 10 };
 
   explicit SlotBroker(uint64_t aSeed);
 
@@ -154,6 +156,10 @@
   };
 
   void Learn(TimePoint aNow, Pool& aPool, const SlotReport& aReport);
+  // Drops what is known of upstreams that are gone.
+  static void ForgetGone(TimePoint aNow,
+                         Pool& aPool,
+                         const Directory& aDirectory);
   // Tests upstreams by their answers and by requests without one.
   void JudgeUpstreams(TimePoint aNow,
                       Pool& aPool,
@@ -194,6 +200,7 @@
   bool mIsAlone = false;
   uint64_t mEjections = 0;
   std::vector<Event> mEvents;
+  TimePoint mForgotAt;
 };
 
 } // namespace foxtail::flow
--- a/src/flow/Ledger.cpp
+++ b/src/flow/Ledger.cpp
@@ -56,11 +56,13 @@
   if (gained > 0) {
     flow.mAcknowledged = aPacket.mAcknowledgement;
     if (flow.mPhase == Phase::Busy || flow.mPhase == Phase::Overdue) {
-      progress.mAnswer = aNow - flow.mPhaseSince;
       flow.mAnswer = aNow - flow.mPhaseSince;
-      if (Holds(flow.mPhase))
-        mAnswer += (*progress.mAnswer - mAnswer) / 16;
+      progress.mAnswer = flow.mAnswer;
       progress.mReleased = Holds(flow.mPhase);
+      // The usual time is that of answers while the flow holds its slot.
+      if (progress.mReleased) {
+        mAnswer += (flow.mAnswer - mAnswer) / 16;
+      }
       SetPhase(aNow, flow, Phase::Idle);
     }
   }
--- a/src/flow/OutlierDetector.cpp
+++ b/src/flow/OutlierDetector.cpp
@@ -10,14 +10,24 @@
 namespace {
 
 constexpr double kQuartile = 0.25;
-// How far a quartile moves with one answer, as a natural logarithm: a hundred
-// answers double it.
+// Scale of a quartile's move with one answer, as a natural logarithm: 0.25 % up
+// or 0.75 % down, so that a few hundred answers follow a new release.
 constexpr double kQuartileStep = 0.01;
 // Weight of one answer in the usual share of odd ones.
 constexpr double kShareStep = 0.005;
 // Work below the resolution of what is reported.
 constexpr double kLeastWorkMs = 0.5;
 
+// Drops the entries that aIsUnused holds for.
+template<typename Map, typename Predicate>
+void
+EraseIf(Map& aMap, Predicate aIsUnused)
+{
+  for (auto it = aMap.begin(); it != aMap.end();) {
+    it = aIsUnused(it->second) ? aMap.erase(it) : std::next(it);
+  }
+}
+
 double
 LogWork(const AnswerShape& aAnswer)
 {
@@ -107,6 +117,7 @@
 OutlierDetector::Take(TimePoint aNow, const AnswerShape& aAnswer)
 {
   Reference& reference = mReferences[aAnswer.mRoute];
+  reference.mUsedAt = aNow;
   if (MayVote(aNow, aAnswer.mUpstream)) {
     Learn(reference, aAnswer);
   }
@@ -232,4 +243,13 @@
   return true;
 }
 
+void
+OutlierDetector::Forget(TimePoint aNow)
+{
+  const TimePoint since = aNow - kForgetUnused;
+  EraseIf(mReferences, [&](const auto& it) { return it.mUsedAt < since; });
+  EraseIf(mSuspects, [&](const auto& it) { return it.mLastOdd < since; });
+  EraseIf(mVotedAt, [&](const auto& it) { return it < since; });
+}
+
 } // namespace foxtail::flow
--- a/src/flow/SlotBroker.cpp
+++ b/src/flow/SlotBroker.cpp
@@ -483,11 +483,29 @@
   return replies;
 }
 
+void
+SlotBroker::ForgetGone(TimePoint aNow, Pool& aPool, const Directory& aDirectory)
+{
+  aPool.mOutliers.Forget(aNow);
+  auto& answers = aPool.mAnswerMs;
+  for (auto it = answers.begin(); it != answers.end();) {
+    const bool isGone = aDirectory.FindUpstream(it->first) == nullptr;
+    it = isGone ? answers.erase(it) : std::next(it);
+  }
+}
+
 std::vector<SlotBroker::Reply>
 SlotBroker::Tick(TimePoint aNow, const Directory& aDirectory)
 {
   std::vector<Reply> replies;
+  const bool forgets = aNow - mForgotAt >= kForgetPeriod;
+  if (forgets) {
+    mForgotAt = aNow;
+  }
   for (auto& [service, pool] : mPools) {
+    if (forgets) {
+      ForgetGone(aNow, pool, aDirectory);
+    }
     for (auto it = pool.mReporters.begin(); it != pool.mReporters.end();) {
       const VmIp ip = it->first;
       const bool isSilent = aNow - it->second.mHeard >= kReportLife;
--- a/tests/unit/OutlierDetectorTest.cpp
+++ b/tests/unit/OutlierDetectorTest.cpp
@@ -295,3 +295,21 @@
     CHECK_FALSE(detector.Take(now, shape));
   }
 }
+
+TEST_CASE("Upstreams and routes that are gone are forgotten", "[flow][outlier]")
+{
+  OutlierDetector detector;
+  TimePoint now{ 100s };
+  // A day of releases: each upstream answers for a while and is replaced, and
+  // routes come and go.
+  for (Cookie it = 1; it <= 5000; ++it) {
+    now += 1s;
+    detector.Take(now, { it, it % 100, 50ms, 1000 });
+    detector.TakeUnanswered(now, it);
+    detector.Forget(now);
+  }
+  // Ten minutes of upstreams, each as voter and suspect, and the routes.
+  CHECK(detector.Remembered() <= 2 * 601 + 100);
+  detector.Forget(now + OutlierDetector::kForgetUnused + 1s);
+  CHECK(detector.Remembered() == 0);
+}
