Name the flow path's outlier detection AnswerOutliers

The request path has a class OutlierDetector already, which judges by silence and reports of health; one name for two kinds of judgement misleads. No change of behaviour.

--- a/include/foxtail/flow/OutlierDetector.h
+++ b/include/foxtail/flow/AnswerOutliers.h
@@ -1,5 +1,5 @@
-#ifndef foxtail_flow_OutlierDetector_h
-#define foxtail_flow_OutlierDetector_h
+#ifndef foxtail_flow_AnswerOutliers_h
+#define foxtail_flow_AnswerOutliers_h
 
 #include <cstdint>
 #include <optional>
@@ -19,7 +19,7 @@
 // one upstream are tested against them with a cumulative sum of likelihood
 // ratios. An upstream that is found is ejected for a while and then has to
 // prove itself with a few answers. Not thread-safe.
-class OutlierDetector
+class AnswerOutliers
 {
 public:
   // Answers of a route that are seen before any of them is judged.
--- a/include/foxtail/flow/SlotBroker.h
+++ b/include/foxtail/flow/SlotBroker.h
@@ -9,8 +9,8 @@
 
 #include "foxtail/core/Event.h"
 #include "foxtail/core/Time.h"
+#include "foxtail/flow/AnswerOutliers.h"
 #include "foxtail/flow/Directory.h"
-#include "foxtail/flow/OutlierDetector.h"
 #include "foxtail/flow/PeerMessages.h"
 
 namespace foxtail::flow {
@@ -142,7 +142,7 @@
     std::unordered_map<uint64_t, Silence> mSilences;
     std::unordered_multimap<uint32_t, Refusal> mRefusals;
     std::unordered_map<Cookie, double> mAnswerMs;
-    OutlierDetector mOutliers;
+    AnswerOutliers mOutliers;
     double mMeanAnswerMs = 0;
   };
   struct Candidate
@@ -152,7 +152,7 @@
     uint32_t mLoad = 0;
     double mSlowness = 1;
     double mLimit = 0;
-    OutlierDetector::Standing mStanding = OutlierDetector::Standing::Trusted;
+    AnswerOutliers::Standing mStanding = AnswerOutliers::Standing::Trusted;
   };
 
   void Learn(TimePoint aNow, Pool& aPool, const SlotReport& aReport);
--- a/src/flow/OutlierDetector.cpp
+++ b/src/flow/AnswerOutliers.cpp
@@ -1,4 +1,4 @@
-#include "foxtail/flow/OutlierDetector.h"
+#include "foxtail/flow/AnswerOutliers.h"
 
 #include <algorithm>
 #include <cmath>
@@ -67,7 +67,7 @@
 } // namespace
 
 bool
-OutlierDetector::IsOdd(const Reference& aReference, const AnswerShape& aAnswer)
+AnswerOutliers::IsOdd(const Reference& aReference, const AnswerShape& aAnswer)
 {
   const double part = std::log(kOddPart);
   const bool isMeasurable =
@@ -78,7 +78,7 @@
 }
 
 bool
-OutlierDetector::MayVote(TimePoint aNow, Cookie aUpstream)
+AnswerOutliers::MayVote(TimePoint aNow, Cookie aUpstream)
 {
   // One that fails would soon make its answers the usual ones.
   if (mSuspects.count(aUpstream) > 0) {
@@ -93,7 +93,7 @@
 }
 
 void
-OutlierDetector::Learn(Reference& aReference, const AnswerShape& aAnswer)
+AnswerOutliers::Learn(Reference& aReference, const AnswerShape& aAnswer)
 {
   mUnansweredShare -= kShareStep * mUnansweredShare;
   if (aReference.mIsLearned) {
@@ -114,7 +114,7 @@
 }
 
 std::optional<std::string>
-OutlierDetector::Take(TimePoint aNow, const AnswerShape& aAnswer)
+AnswerOutliers::Take(TimePoint aNow, const AnswerShape& aAnswer)
 {
   Reference& reference = mReferences[aAnswer.mRoute];
   reference.mUsedAt = aNow;
@@ -144,7 +144,7 @@
 }
 
 std::optional<std::string>
-OutlierDetector::TakeUnanswered(TimePoint aNow, Cookie aUpstream)
+AnswerOutliers::TakeUnanswered(TimePoint aNow, Cookie aUpstream)
 {
   if (MayVote(aNow, aUpstream)) {
     mUnansweredShare += kShareStep * (1 - mUnansweredShare);
@@ -159,7 +159,7 @@
 }
 
 bool
-OutlierDetector::Accuse(TimePoint aNow, Cookie aUpstream, double aUsualShare)
+AnswerOutliers::Accuse(TimePoint aNow, Cookie aUpstream, double aUsualShare)
 {
   // When healthy upstreams do the same, it tells nothing.
   if (aUsualShare > kMostUsualShare) {
@@ -188,7 +188,7 @@
 }
 
 void
-OutlierDetector::Clear(TimePoint aNow, Cookie aUpstream, double aUsualShare)
+AnswerOutliers::Clear(TimePoint aNow, Cookie aUpstream, double aUsualShare)
 {
   const auto it = mSuspects.find(aUpstream);
   if (it == mSuspects.end() || it->second.mEjectedUntil > aNow) {
@@ -209,8 +209,8 @@
   }
 }
 
-OutlierDetector::Standing
-OutlierDetector::StandingOf(TimePoint aNow, Cookie aUpstream) const
+AnswerOutliers::Standing
+AnswerOutliers::StandingOf(TimePoint aNow, Cookie aUpstream) const
 {
   const auto it = mSuspects.find(aUpstream);
   if (it == mSuspects.end()) {
@@ -227,7 +227,7 @@
 }
 
 bool
-OutlierDetector::ResetIfMostAccused(size_t aUpstreams)
+AnswerOutliers::ResetIfMostAccused(size_t aUpstreams)
 {
   const auto accused =
     std::count_if(mSuspects.begin(), mSuspects.end(), [](const auto& it) {
@@ -244,7 +244,7 @@
 }
 
 void
-OutlierDetector::Forget(TimePoint aNow)
+AnswerOutliers::Forget(TimePoint aNow)
 {
   const TimePoint since = aNow - kForgetUnused;
   EraseIf(mReferences, [&](const auto& it) { return it.mUsedAt < since; });
--- a/src/flow/SlotBroker.cpp
+++ b/src/flow/SlotBroker.cpp
@@ -381,13 +381,13 @@
     return true;
   }
   switch (aCandidate.mStanding) {
-    case OutlierDetector::Standing::Ejected:
+    case AnswerOutliers::Standing::Ejected:
       return true;
-    case OutlierDetector::Standing::Probation:
+    case AnswerOutliers::Standing::Probation:
       // Tried with one flow at a time, of those that may be repeated.
       return aCandidate.mLoad > 0 || !aWaiter.mRequest.mIsIdempotent;
-    case OutlierDetector::Standing::Doubted:
-    case OutlierDetector::Standing::Trusted:
+    case AnswerOutliers::Standing::Doubted:
+    case AnswerOutliers::Standing::Trusted:
       break;
   }
   return false;
@@ -418,7 +418,7 @@
     if (it.mRecord->mRecord.mDomain != domain) {
       score += kOtherDomain;
     }
-    const bool isRisky = it.mStanding == OutlierDetector::Standing::Doubted &&
+    const bool isRisky = it.mStanding == AnswerOutliers::Standing::Doubted &&
                          !aWaiter.mRequest.mIsIdempotent;
     if (isRisky) {
       score += kDoubtCost;
--- a/tests/unit/OutlierDetectorTest.cpp
+++ b/tests/unit/AnswerOutliersTest.cpp
@@ -3,7 +3,7 @@
 #include <cmath>
 #include <random>
 
-#include "foxtail/flow/OutlierDetector.h"
+#include "foxtail/flow/AnswerOutliers.h"
 
 using namespace foxtail;
 using namespace foxtail::flow;
@@ -11,7 +11,7 @@
 
 namespace {
 
-using Standing = OutlierDetector::Standing;
+using Standing = AnswerOutliers::Standing;
 
 constexpr uint32_t kRoute = 7;
 constexpr Cookie kUpstreams = 12;
@@ -56,7 +56,7 @@
   }
 
   // Each upstream but aExcept answers once in 40 ms.
-  TimePoint Run(OutlierDetector& aDetector,
+  TimePoint Run(AnswerOutliers& aDetector,
                 TimePoint aNow,
                 Duration aTime,
                 Cookie aExcept = 0)
@@ -95,7 +95,7 @@
   const Service& service =
     kServices[GENERATE(range(size_t{ 0 }, std::size(kServices)))];
   INFO(service.mName);
-  OutlierDetector detector;
+  AnswerOutliers detector;
   Answers answers(service);
   TimePoint now = answers.Run(detector, TimePoint{ 100s }, 2s);
   int failures = 0;
@@ -112,9 +112,9 @@
 
   SECTION("it is back after usual answers")
   {
-    now += OutlierDetector::kFirstEjection;
+    now += AnswerOutliers::kFirstEjection;
     CHECK(detector.StandingOf(now, 3) == Standing::Probation);
-    for (uint32_t i = 0; i < OutlierDetector::kProbation; ++i) {
+    for (uint32_t i = 0; i < AnswerOutliers::kProbation; ++i) {
       AnswerShape usual{ 3,
                          kRoute,
                          milliseconds(std::lround(service.mWorkMs)),
@@ -126,18 +126,18 @@
 
   SECTION("one more failure ejects it for twice the time")
   {
-    now += OutlierDetector::kFirstEjection;
+    now += AnswerOutliers::kFirstEjection;
     CHECK(detector.Take(now, FailureOf(3)));
-    now += OutlierDetector::kFirstEjection;
+    now += AnswerOutliers::kFirstEjection;
     CHECK(detector.StandingOf(now, 3) == Standing::Ejected);
-    now += OutlierDetector::kFirstEjection;
+    now += AnswerOutliers::kFirstEjection;
     CHECK(detector.StandingOf(now, 3) == Standing::Probation);
   }
 
   SECTION("answers of flows from before the ejection change nothing")
   {
     CHECK_FALSE(detector.Take(now, FailureOf(3)));
-    now += OutlierDetector::kFirstEjection;
+    now += AnswerOutliers::kFirstEjection;
     CHECK(detector.StandingOf(now, 3) == Standing::Probation);
   }
 }
@@ -151,7 +151,7 @@
   constexpr int kTrials = 50;
   int sum = 0;
   for (int i = 0; i < kTrials; ++i) {
-    OutlierDetector detector;
+    AnswerOutliers detector;
     Answers answers(service);
     answers.mRandom.seed(static_cast<uint64_t>(i));
     const TimePoint now = answers.Run(detector, TimePoint{ 100s }, 2s, 3);
@@ -174,7 +174,7 @@
   const Service& service =
     kServices[GENERATE(range(size_t{ 0 }, std::size(kServices)))];
   INFO(service.mName);
-  OutlierDetector detector;
+  AnswerOutliers detector;
   Answers answers(service);
   // 12 upstreams, 25 answers a second each, for 60 s. A false alarm takes one
   // upstream out for a second or two: one a minute and upstream is 2 to 3 % of
@@ -186,7 +186,7 @@
 TEST_CASE("An upstream that leaves two of five unanswered is ejected soon",
           "[flow][outlier]")
 {
-  OutlierDetector detector;
+  AnswerOutliers detector;
   Answers answers(kServices[0]);
   const TimePoint now = answers.Run(detector, TimePoint{ 100s }, 2s);
   std::bernoulli_distribution fails(0.4);
@@ -204,7 +204,7 @@
 TEST_CASE("When many leave requests unanswered, none is ejected for it",
           "[flow][outlier]")
 {
-  OutlierDetector detector;
+  AnswerOutliers detector;
   Answers answers(kServices[0]);
   TimePoint now = answers.Run(detector, TimePoint{ 100s }, 2s);
   // A crest: a third of all requests is overdue at each upstream.
@@ -229,7 +229,7 @@
 
 TEST_CASE("A whole answer after hardly any work is not odd", "[flow][outlier]")
 {
-  OutlierDetector detector;
+  AnswerOutliers detector;
   Answers answers(kServices[2]);
   TimePoint now = answers.Run(detector, TimePoint{ 100s }, 2s);
   for (int i = 0; i < 50; ++i) {
@@ -242,7 +242,7 @@
 TEST_CASE("One that fails from the start does not become the usual",
           "[flow][outlier]")
 {
-  OutlierDetector detector;
+  AnswerOutliers detector;
   Answers answers(kServices[0]);
   TimePoint now{ 100s };
   // It answers ten times as often as the others.
@@ -261,7 +261,7 @@
 
 TEST_CASE("When most would be ejected, none is", "[flow][outlier]")
 {
-  OutlierDetector detector;
+  AnswerOutliers detector;
   Answers answers(kServices[0]);
   TimePoint now = answers.Run(detector, TimePoint{ 100s }, 2s);
   // The service has another release that answers with hardly anything.
@@ -284,7 +284,7 @@
 
 TEST_CASE("Each route has its own usual answers", "[flow][outlier]")
 {
-  OutlierDetector detector;
+  AnswerOutliers detector;
   Answers answers(kServices[0]);
   TimePoint now = answers.Run(detector, TimePoint{ 100s }, 2s);
   // A route whose answers are all short and quick, through every upstream.
@@ -298,7 +298,7 @@
 
 TEST_CASE("Upstreams and routes that are gone are forgotten", "[flow][outlier]")
 {
-  OutlierDetector detector;
+  AnswerOutliers detector;
   TimePoint now{ 100s };
   // A day of releases: each upstream answers for a while and is replaced, and
   // routes come and go.
@@ -310,6 +310,6 @@
   }
   // Ten minutes of upstreams, each as voter and suspect, and the routes.
   CHECK(detector.Remembered() <= 2 * 601 + 100);
-  detector.Forget(now + OutlierDetector::kForgetUnused + 1s);
+  detector.Forget(now + AnswerOutliers::kForgetUnused + 1s);
   CHECK(detector.Remembered() == 0);
 }
