Test that postings don't try an upstream that failed

An ejected upstream gets nothing, then one flow at a time of those that may be repeated; without the ejection the first grant of the test goes to it, being nearer and free.

--- a/tests/contracts/FlowFleetTest.cpp
+++ b/tests/contracts/FlowFleetTest.cpp
@@ -215,7 +215,7 @@
   // flows. At most a fifth of that may reach them.
   const double even = 6 * settings.mRequestsPerSecond * failing / 6;
   CHECK(static_cast<double>(during.mFailed) <= even / 5);
-  // They are used again once they work.
+  // Nothing fails once they work.
   world.Run(10s);
   world.Settle();
   CheckPromises(world.Outcome());
--- a/tests/unit/SlotBrokerTest.cpp
+++ b/tests/unit/SlotBrokerTest.cpp
@@ -55,6 +55,7 @@
     mReport.mRequests.clear();
     mReport.mSilent.clear();
     mReport.mAnswers.clear();
+    mReport.mShapes.clear();
     return mReport;
   }
 
@@ -372,3 +373,52 @@
   CHECK(near.Hear(broker.Take(kStart, near.Ip(), asked, "s", directory, 0))
           .size() == 2);
 }
+
+TEST_CASE("Only flows that may be repeated try an upstream that failed",
+          "[flow][broker][outlier]")
+{
+  constexpr Cookie kFailing = 1;
+  constexpr Cookie kWorking = 2;
+  constexpr uint32_t kRoute = 7;
+  const Directory directory = MakeDirectory(2, 3);
+  SlotBroker broker(1);
+  Speaker near(kNear, "near");
+  TimePoint now = kStart;
+  const auto tell = [&](const SlotReport& aReport) {
+    return near.Hear(broker.Take(now, near.Ip(), aReport, "s", directory, 0));
+  };
+  for (size_t i = 0; i < AnswerOutliers::kReference; ++i) {
+    now += AnswerOutliers::kVoteGap;
+    SlotReport& report = near.Next();
+    report.mShapes = { { kFailing, kRoute, 50ms, 1000 },
+                       { kWorking, kRoute, 50ms, 1000 } };
+    tell(report);
+  }
+  SlotReport& failures = near.Next();
+  failures.mShapes.assign(3, { kFailing, kRoute, 1ms, 170 });
+  tell(failures);
+  CHECK(broker.Ejections() == 1);
+  const std::vector<Event> events = broker.TakeEvents();
+  REQUIRE(events.size() == 1);
+  CHECK(events[0].mId == 4104);
+
+  // The other one is busier and farther, and still preferred while it lasts.
+  SlotReport& ejected = near.Next();
+  ejected.mHeld = { { kWorking, 3 } };
+  ejected.mRequests = { Ask(1) };
+  CHECK(tell(ejected).at(1) == kWorking);
+
+  now += AnswerOutliers::kFirstEjection;
+  SlotReport& posting = near.Next();
+  posting.mRequests = { Ask(2) };
+  posting.mRequests[0].mIsIdempotent = false;
+  CHECK(tell(posting).at(2) == kWorking);
+  SlotReport& lookup = near.Next();
+  lookup.mRequests = { Ask(3) };
+  CHECK(tell(lookup).at(3) == kFailing);
+  // One at a time.
+  SlotReport& another = near.Next();
+  another.mHeld = { { kFailing, 1 }, { kWorking, 3 } };
+  another.mRequests = { Ask(4) };
+  CHECK(tell(another).at(4) == kWorking);
+}
