--- a/include/foxtail/flow/AnswerOutliers.h
+++ b/include/foxtail/flow/AnswerOutliers.h
@@ -41,7 +41,7 @@
   static constexpr double kLeastUsualShare = 0.02;
   static constexpr double kMostUsualShare = 0.2;
   // Natural logarithm of the likelihood ratio that ejects: two odd answers in
-  // a row, or a few among more. One in 250 is a false alarm.
+  // a row, or a few among more.
   static constexpr double kEjectAt = 5.5;
   // An upstream with this much evidence is in doubt.
   static constexpr double kDoubtAt = kEjectAt / 2;
--- a/include/foxtail/flow/Ledger.h
+++ b/include/foxtail/flow/Ledger.h
@@ -53,7 +53,7 @@
   static constexpr milliseconds kLeastBusy{ 180 };
   static constexpr milliseconds kMostBusy{ 2000 };
   // A request without an answer for this many usual answer times is taken as
-  // unanswered: one in 300 answers takes longer.
+  // unanswered: the users' stragglers work seven times as long.
   static constexpr int kOverdueAnswers = 8;
   static constexpr milliseconds kLeastOverdue{ 500 };
   static constexpr milliseconds kMostOverdue{ 4000 };
