Tell peers of changes that were undone before this balancer saw them

Cause: a balancer follows the store by its last change that matters and vouches for it to its peers. Of several changes of one record in one answer the store client kept the last. A record that lapsed and came back between two reads was then no change at all to front-kumamoto-1 (7 lines 2102, the others 18), which told its peers that nothing had happened up to its revision. Those that had read the store in between had the records as gone, took its word and never asked for the return. The same from peer to peer, since a replica names only the last state of each record.

--- a/include/foxtail/flow/Directory.h
+++ b/include/foxtail/flow/Directory.h
@@ -83,6 +83,7 @@
 private:
   void TakeUpstream(TimePoint aNow,
                     const UpstreamRecord& aRecord,
+                    bool aHasEveryChange,
                     const std::string& aSource);
   void TakeRemoval(TimePoint aNow, const RemovedRecord& aRecord);
   void TakeConfiguration(const Configuration& aConfiguration,
--- a/include/foxtail/flow/Records.h
+++ b/include/foxtail/flow/Records.h
@@ -87,6 +87,10 @@
   milliseconds mAge{ 0 };
   // The records are everything that is published: what is absent is gone.
   bool mIsComplete = false;
+  // The records name every change since the revision that was asked for, also
+  // those that a later one undoes. Otherwise a record may have changed and
+  // changed back unseen.
+  bool mHasEveryChange = false;
   std::vector<UpstreamRecord> mUpstreams;
   std::vector<RemovedRecord> mRemoved;
   std::optional<Configuration> mConfiguration;
--- a/src/flow/Directory.cpp
+++ b/src/flow/Directory.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <variant>
 
 #include "absl/strings/str_cat.h"
 
@@ -36,6 +37,32 @@
          aOld.mSlots != aNew.mSlots || aOld.mStarted != aNew.mStarted;
 }
 
+using Change = std::variant<const UpstreamRecord*, const RemovedRecord*>;
+
+// The changes of an update as they were published. All of them count: a peer
+// may have the state between two changes of one record, and asks only for what
+// mattered here.
+std::vector<Change>
+InOrder(const ReplicaUpdate& aUpdate)
+{
+  std::vector<Change> changes;
+  changes.reserve(aUpdate.mUpstreams.size() + aUpdate.mRemoved.size());
+  for (const UpstreamRecord& it : aUpdate.mUpstreams) {
+    changes.emplace_back(&it);
+  }
+  for (const RemovedRecord& it : aUpdate.mRemoved) {
+    changes.emplace_back(&it);
+  }
+  const auto revision = [](const Change& aChange) {
+    return std::visit([](const auto* it) { return it->mRevision; }, aChange);
+  };
+  std::stable_sort(
+    changes.begin(), changes.end(), [&](const Change& a, const Change& b) {
+      return revision(a) < revision(b);
+    });
+  return changes;
+}
+
 } // namespace
 
 Cookie
@@ -57,12 +84,15 @@
 {
   mEvents.clear();
   mChanged = false;
-  // What was removed may be back in the same update, not the other way.
-  for (const RemovedRecord& it : aUpdate.mRemoved) {
-    TakeRemoval(aNow, it);
-  }
-  for (const UpstreamRecord& it : aUpdate.mUpstreams) {
-    TakeUpstream(aNow, it, aSource);
+  for (const Change& change : InOrder(aUpdate)) {
+    if (const auto* it = std::get_if<const RemovedRecord*>(&change)) {
+      TakeRemoval(aNow, **it);
+    } else {
+      TakeUpstream(aNow,
+                   *std::get<const UpstreamRecord*>(change),
+                   aUpdate.mHasEveryChange,
+                   aSource);
+    }
   }
   if (aUpdate.mConfiguration) {
     TakeConfiguration(*aUpdate.mConfiguration, aSource);
@@ -94,6 +124,7 @@
 void
 Directory::TakeUpstream(TimePoint aNow,
                         const UpstreamRecord& aRecord,
+                        bool aHasEveryChange,
                         const std::string& aSource)
 {
   if (IsKnown(aRecord.mRevision)) {
@@ -107,6 +138,11 @@
   const bool matters =
     !isKnown || it->second.mIsGone || Differs(it->second.mRecord, aRecord);
   if (!matters) {
+    // A peer may have missed that it changed back.
+    if (!aHasEveryChange) {
+      it->second.mRecord.mRevision = aRecord.mRevision;
+      mNewest = std::max(mNewest, aRecord.mRevision);
+    }
     return;
   }
   Upstream& upstream = mUpstreams[aRecord.mId];
--- a/tests/unit/FlowReplicaTest.cpp
+++ b/tests/unit/FlowReplicaTest.cpp
@@ -91,6 +91,9 @@
     { "removed and back in one update",
       { Changes(14, { MakeRecord("x", 13) }, { { "x", 12 } }) },
       true },
+    { "removed, back and removed again in one update",
+      { Changes(16, { MakeRecord("x", 13) }, { { "x", 12 }, { "x", 15 } }) },
+      false },
     { "an older removal that comes late",
       { Changes(14, { MakeRecord("x", 14) }), Changes(9, {}, { { "x", 9 } }) },
       true },
@@ -205,6 +208,47 @@
   CHECK_FALSE(follower.FindUpstream(CookieOf(0x20))->mIsGone);
 }
 
+TEST_CASE("A change that is undone in the same update is told to peers",
+          "[flow][replica]")
+{
+  struct UndoneCase
+  {
+    const char* mName;
+    ReplicaUpdate mDone;
+    ReplicaUpdate mDoneAndUndone;
+  };
+  const UpstreamRecord back = MakeRecord("x", 13);
+  const UpstreamRecord bad = MakeRecord("x", 12, UpstreamState::Unusable);
+  const auto it = GENERATE_COPY(values<UndoneCase>({
+    { "removed and back",
+      Changes(12, {}, { { "x", 12 } }),
+      Changes(13, { back }, { { "x", 12 } }) },
+    { "malformed and well again",
+      Changes(12, { bad }),
+      Changes(13, { bad, back }) },
+  }));
+  INFO(it.mName);
+  Directory early;
+  Directory late;
+  early.Apply(kStart, Whole(), "store");
+  late.Apply(kStart, Whole(), "store");
+  early.Apply(kStart, it.mDone, "store");
+  ReplicaUpdate changes = it.mDoneAndUndone;
+  changes.mHasEveryChange = true;
+  late.Apply(kStart, changes, "store");
+  CHECK(late.Newest() == 13);
+  // Has it all from a peer, which tells no change that is undone.
+  Directory last;
+  last.Apply(kStart, Whole(), "store");
+  last.Apply(kStart, late.Since(kStart, last.Confirmed()), "peer");
+  CHECK(last.Newest() == 13);
+  const Directory& teller = GENERATE(false, true) ? late : last;
+  early.Apply(kStart, teller.Since(kStart, early.Confirmed()), "peer");
+  const Upstream* upstream = early.FindUpstream(CookieOf(0x10));
+  REQUIRE(upstream != nullptr);
+  CHECK(Directory::TakesNewFlows(*upstream, kStart + 10s));
+}
+
 TEST_CASE("A peer that may have missed a removal gets everything",
           "[flow][replica]")
 {
