--- a/tests/platform/EntriesTest.cpp
+++ b/tests/platform/EntriesTest.cpp
@@ -82,6 +82,15 @@
     { R"("address":"10.128.0.9:8080")", R"("address":"there")" },
     { R"("born":1768688591136)", R"("born":"today")" },
     { R"("born":1768688591136)", R"("born":1.5)" },
+    { R"("born":1768688591136)", R"("born":18446744073709551615)" },
+    { R"("slots":3)", R"("slots":18446744073709551615)" },
+    { R"("slots":3)", R"("slots":1e999)" },
+    { R"("slots":3)", R"("slots":[[[[3]]]])" },
+    { R"("sequence":4)", R"("sequence":99999999999999999999999)" },
+    { "10.128.0.9:8080", "10.128.0.9:65536" },
+    { "10.128.0.9:8080", "10.128.0.9:0" },
+    { "10.128.0.9:8080", "10.128.0.9:-1" },
+    { "10.128.0.9:8080", "10.128.0.9:99999999999999999999" },
     { "{", "" },
     { "{", "\xFF\xFE" },
   }));
@@ -93,6 +102,34 @@
   CHECK_FALSE(fault.empty());
 }
 
+TEST_CASE("A deeply nested value is malformed", "[platform][badinput]")
+{
+  constexpr size_t kDepth = 300'000;
+  const std::string nested =
+    std::string(kDepth, '[') + std::string(kDepth, ']');
+  const std::string values[] = {
+    nested,
+    Replace(kEntry, R"("slots":3)", R"("slots":)" + nested),
+    Replace(kEntry, R"("s1")", nested),
+    Replace(kEntry, "{", R"({"x":)" + nested + ",")
+  };
+  const std::string& value = values[GENERATE(range(0, 4))];
+  std::string fault;
+  const auto record = DecodeUpstream("i-7f", value, 9, fault);
+  CHECK(record.mState == flow::UpstreamState::Unusable);
+  CHECK_THAT(fault, Catch::Contains("levels of nesting"));
+}
+
+TEST_CASE("The reason given for a malformed entry is short",
+          "[platform][badinput]")
+{
+  const std::string text(500'000, 'x');
+  std::string fault;
+  DecodeUpstream("i-7f", Replace(kEntry, "10.128.0.9", text), 9, fault);
+  CHECK_FALSE(fault.empty());
+  CHECK(fault.size() <= kMaxFaultBytes);
+}
+
 TEST_CASE("The instance number is the hexadecimal number at the end of the id",
           "[platform]")
 {
@@ -197,6 +234,67 @@
   }
 }
 
+TEST_CASE("Odd entries of another writer never end the process",
+          "[platform][badinput]")
+{
+  std::mt19937_64 random(11);
+  const auto pick = [&](size_t n) { return random() % n; };
+  const auto nested = [&](char aOpen, char aClose) {
+    const size_t depth = 1 + pick(pick(1000) == 0 ? 100'000 : 60);
+    return std::string(depth, aOpen) + std::string(depth, aClose);
+  };
+  const auto oddValue = [&]() -> std::string {
+    switch (pick(9)) {
+      case 0:
+        return nested('[', ']');
+      case 1: {
+        const std::string key = R"({"a":)";
+        std::string text = "1";
+        for (size_t n = pick(60); n > 0; --n) {
+          text = key + text + "}";
+        }
+        return text;
+      }
+      case 2:
+        return std::string(1 + pick(400), '9');
+      case 3:
+        return (pick(2) == 0 ? "-1e" : "1e") + std::to_string(pick(1000));
+      case 4:
+        return std::to_string(static_cast<int64_t>(random()));
+      case 5:
+        return "\"10.0.0.1:" + std::to_string(random() >> pick(64)) + "\"";
+      case 6:
+        return std::string("\"") + static_cast<char>(0x80 + pick(128)) + "\"";
+      case 7:
+        return pick(2) == 0 ? "null" : "true";
+      default:
+        return R"("\ud800")";
+    }
+  };
+  const char* const fields[] = { R"("s1")",    R"("10.128.0.9:8080")",
+                                 R"("a")",     R"("v1")",
+                                 "3",          R"("ready")",
+                                 "40",         "4",
+                                 "1768688591136" };
+  for (int i = 0; i < 100'000; ++i) {
+    std::string text = kEntry;
+    for (size_t n = 1 + pick(2); n > 0; --n) {
+      const std::string field = fields[pick(std::size(fields))];
+      const size_t at = text.find(":" + field);
+      if (at != std::string::npos) {
+        text.replace(at + 1, field.size(), oddValue());
+      }
+    }
+    std::string fault;
+    const auto record = DecodeUpstream("i-1", text, 1, fault);
+    const bool isUsed = record.mState == flow::UpstreamState::Ready;
+    if (isUsed != fault.empty() || fault.size() > kMaxFaultBytes ||
+        (isUsed && record.mAddress.mPort == 0)) {
+      FAIL(text << " gave fault '" << fault << "'");
+    }
+  }
+}
+
 TEST_CASE("Corrupted values and settings are refused with the declared errors",
           "[platform][badinput]")
 {
