Send the second stop signal until the process has ended

Cause: two SIGTERMs that arrive before the process has handled the first are one (signals don't queue), and the test waited only for an answer that another thread gives.

The test repeats the second signal for up to 2 s; it still asks for exit code 1, which a process that ignores the second signal never gives.

--- a/tests/contracts/AgentProcessTest.cpp
+++ b/tests/contracts/AgentProcessTest.cpp
@@ -70,6 +70,13 @@
 
   void Signal(int aSignal) const { kill(mId, aSignal); }
 
+  bool HasEnded() const
+  {
+    siginfo_t info{};
+    waitid(P_PID, static_cast<id_t>(mId), &info, WEXITED | WNOHANG | WNOWAIT);
+    return info.si_pid == mId;
+  }
+
   // Waits until the process has ended. Returns its exit code, or the negated
   // number of the signal that ended it.
   int Wait()
@@ -354,7 +361,12 @@
     fleet.Agent(1).Signal(SIGTERM);
     // The balancer still runs, so the agent keeps running for its drain time.
     CHECK(fleet.SendHeartbeat(1));
-    fleet.Agent(1).Signal(SIGTERM);
+    // Two signals that arrive before the process has handled the first one
+    // count as one, so the second is repeated.
+    for (int i = 0; i < 100 && !fleet.Agent(1).HasEnded(); ++i) {
+      fleet.Agent(1).Signal(SIGTERM);
+      std::this_thread::sleep_for(20ms);
+    }
     CHECK(fleet.Agent(1).Wait() == 1);
   }
 }
