Time-outs bound the progress of an answer, not its length

Cause (large site, small twin: links of 2 Mbit/s): a call to the store ended 1 s, one to a peer 1.5 s after its start, also while its bytes came in. A listing or a configuration that takes longer never arrived: after the loss of all power every VM logged 8001 "no complete answer within 1000 ms" and none was ready again, and after a configuration of many routes the replicas stood still, so that drained upstreams got new flows.

Change: an answer must begin within 1 s, bring 1 KiB in each 500 ms and end within 15 s (AnswerDeadline, no I/O); a silent or trickling connection ends within half a second. The balancer no longer gives up a read that is in progress after 3 s. Replicas between peers are compressed, and a starting balancer asks any ready one, of its own domain first, instead of the last it heard of. Only listings of up to 3 pages (8 before) are read by all starting balancers. The HTTP servers' backlog is 128 instead of 5.

Ruled out: longer constants.

Tests: HttpCallerTest and the slow, silent and odd-key cases of StoreClientTest; with the old time-outs "longer than the time-out of the first bytes" and "A long configuration arrives over a slow link" end with error 802.

--- a/include/foxtail/flow/Fleet.h
+++ b/include/foxtail/flow/Fleet.h
@@ -107,6 +107,10 @@
   // number of live and ready members that precede it by rendezvous hash.
   size_t ReaderRank(TimePoint aNow) const;
 
+  // Returns a random member that is alive and ready, one of the own failure
+  // domain if there is any; empty if no member is.
+  std::optional<VmIp> PickReadyMember(TimePoint aNow);
+
   bool IsAlive(TimePoint aNow, VmIp aMember) const;
   size_t AliveCount(TimePoint aNow) const;
   // Number of live members that take part in brokering, this one included if it
--- a/include/foxtail/flow/FlowBalancer.h
+++ b/include/foxtail/flow/FlowBalancer.h
@@ -169,9 +169,10 @@
   static constexpr size_t kMaxReadRank = 4;
   // Delay before the next read of the publisher after one that failed.
   static constexpr milliseconds kReadRetryDelay{ 200 };
-  // Time that the publisher or a peer may take to answer a read. A read without
-  // a result for twice this time is given up.
-  static constexpr milliseconds kReadTimeout{ 1500 };
+  // A read without a result for this time is given up. A long answer over a
+  // slow link takes seconds; its progress is watched by whoever executes the
+  // read.
+  static constexpr milliseconds kMaxReadTime{ 20000 };
   // Time for which a newer replica in the own failure domain is awaited before
   // a peer of another failure domain is read.
   static constexpr milliseconds kOtherDomainReadDelay{ 120 };
@@ -184,7 +185,7 @@
   // a balancer that is not a seed therefore asks for at most kMaxStartupPages
   // pages. If the listing is longer, the balancer gets the records from a peer,
   // and tries the publisher again after kLongListingRetryDelay.
-  static constexpr size_t kMaxStartupPages = 8;
+  static constexpr size_t kMaxStartupPages = 3;
   static constexpr milliseconds kLongListingDelay{ 4000 };
   static constexpr milliseconds kLongListingRetryDelay{ 1500 };
   // Time after the start for which no flows are placed, so that heartbeats of
--- a/include/foxtail/net/HttpCaller.h
+++ b/include/foxtail/net/HttpCaller.h
@@ -7,6 +7,7 @@
 
 #include "foxtail/core/Address.h"
 #include "foxtail/core/Time.h"
+#include "foxtail/net/AnswerDeadline.h"
 
 namespace foxtail::net {
 
@@ -17,13 +18,6 @@
   uint64_t mReceived = 0;
 };
 
-// Time-outs of a call.
-struct CallTimeouts
-{
-  milliseconds mConnect{ 1000 };
-  milliseconds mAnswer{ 3000 };
-};
-
 struct CallResult
 {
   int mStatus = 0;
@@ -33,9 +27,10 @@
 // HTTP client that makes GET calls to one address over a persistent connection.
 // The server is the platform or a peer. Calls block; use one HttpCaller per
 // thread. With either server, Get throws PlatformError 801 when the address is
-// not reachable, 802 when the connection or the complete answer exceeds its
-// time-out, 805 when the answer is too large, 807 when it is truncated, 809
-// after Stop. After a failure the next call opens a new connection.
+// not reachable, 802 when the connection or the answer exceeds a time-out or
+// stops making progress, 805 when the answer is too large, 807 when it is
+// truncated, 809 after Stop. After a failure the next call opens a new
+// connection.
 class HttpCaller
 {
 public:
@@ -48,9 +43,13 @@
   ~HttpCaller();
 
   // Returns the answer, whatever its status. aWait is added to the time-out of
-  // the answer.
+  // the first bytes of the answer.
   CallResult Get(const std::string& aPath, milliseconds aWait);
 
+  // Lets the server compress its answers. LastBytes then counts the bytes of
+  // the body after decompression.
+  void AcceptCompressed();
+
   // Makes a call in progress in another thread, and every later call, fail with
   // 809.
   void Stop();
--- a/src/daemon/StatusServer.cpp
+++ b/src/daemon/StatusServer.cpp
@@ -1,6 +1,10 @@
 #include "foxtail/daemon/StatusServer.h"
 
+#include <atomic>
+
 #include <httplib.h>
+#include <sys/socket.h>
+
 #include <nlohmann/json.hpp>
 
 #include "foxtail/core/Error.h"
@@ -9,13 +13,18 @@
 
 namespace {
 
-constexpr size_t kThreadCount = 2;
+constexpr size_t kThreadCount = 4;
+// Connections that wait to be accepted. The default of httplib is 5; further
+// ones would be retried by their clients only after a second.
+constexpr int kBacklog = 128;
 
 } // namespace
 
 struct StatusServer::Impl
 {
   httplib::Server mServer;
+  // The listening socket, once bound.
+  std::atomic<int> mSocket{ -1 };
   std::thread mThread;
 };
 
@@ -25,6 +34,10 @@
   mImpl->mServer.new_task_queue = [] {
     return new httplib::ThreadPool(kThreadCount);
   };
+  mImpl->mServer.set_socket_options([this](int aSocket) {
+    httplib::default_socket_options(aSocket);
+    mImpl->mSocket = aSocket;
+  });
 }
 
 StatusServer::~StatusServer()
@@ -63,6 +76,8 @@
                       aAddress.ToString(),
                       "cannot bind the HTTP port for status requests");
   }
+  // The library has started to listen with its own backlog.
+  listen(mImpl->mSocket, kBacklog);
   mImpl->mThread = std::thread([this] { mImpl->mServer.listen_after_bind(); });
 }
 
--- a/src/flow/Fleet.cpp
+++ b/src/flow/Fleet.cpp
@@ -289,6 +289,24 @@
   return static_cast<size_t>(ahead);
 }
 
+std::optional<VmIp>
+Fleet::PickReadyMember(TimePoint aNow)
+{
+  std::vector<VmIp> near;
+  std::vector<VmIp> far;
+  for (const auto& [ip, member] : mMembers) {
+    if (member.mRecord.mIsReady && WasHeardRecently(aNow, member)) {
+      (member.mRecord.mDomain == mSelf.mDomain ? near : far).push_back(ip);
+    }
+  }
+  const std::vector<VmIp>& choices = near.empty() ? far : near;
+  if (choices.empty()) {
+    return std::nullopt;
+  }
+  return choices[std::uniform_int_distribution<size_t>(0, choices.size() - 1)(
+    mRandom)];
+}
+
 bool
 Fleet::IsAlive(TimePoint aNow, VmIp aMember) const
 {
--- a/src/flow/FlowReading.cpp
+++ b/src/flow/FlowReading.cpp
@@ -54,11 +54,16 @@
 void
 FlowBalancer::StartReadIfDue(TimePoint aNow)
 {
-  const bool isStuck = mIsReading && aNow - mReadStarted >= 2 * kReadTimeout;
+  const bool isStuck = mIsReading && aNow - mReadStarted >= kMaxReadTime;
   if (mIsReading && !isStuck) {
     return;
   }
   if (mNewerPeer != 0) {
+    // While a fleet starts, every balancer lacks the whole replica. They spread
+    // over all balancers that have it, so that none becomes a bottleneck.
+    if (!mDirectory.IsUsable()) {
+      mNewerPeer = mFleet.PickReadyMember(aNow).value_or(mNewerPeer);
+    }
     mIsReading = true;
     mReadStarted = aNow;
     mActions.push_back(ReadPeer{ mNewerPeer, mDirectory.ConfirmedRevision() });
--- a/src/net/HttpCaller.cpp
+++ b/src/net/HttpCaller.cpp
@@ -1,7 +1,15 @@
 #include "foxtail/net/HttpCaller.h"
 
+#include <algorithm>
+#include <array>
 #include <atomic>
+#include <cerrno>
 #include <chrono>
+#include <cstring>
+#include <optional>
+
+#include <poll.h>
+#include <sys/socket.h>
 
 #include "absl/strings/str_cat.h"
 #include "httplib.h"
@@ -56,6 +64,138 @@
            { "User-Agent", "foxtailcove" } };
 }
 
+TimePoint
+Now()
+{
+  return std::chrono::steady_clock::now();
+}
+
+// Reads and writes a connected socket until the deadline of the call passes.
+class DeadlineStream : public httplib::Stream
+{
+public:
+  DeadlineStream(int aSocket, AnswerDeadline& aDeadline)
+    : mSocket(aSocket)
+    , mDeadline(aDeadline)
+  {
+  }
+
+  bool is_readable() const override { return Wait(POLLIN); }
+  bool is_writable() const override { return Wait(POLLOUT); }
+
+  ssize_t read(char* aOut, size_t aSize) override
+  {
+    if (mBegin == mEnd) {
+      const ssize_t received = Receive();
+      if (received <= 0) {
+        return received;
+      }
+    }
+    const size_t n = std::min(aSize, mEnd - mBegin);
+    std::memcpy(aOut, mBuffer.data() + mBegin, n);
+    mBegin += n;
+    return static_cast<ssize_t>(n);
+  }
+
+  ssize_t write(const char* aBytes, size_t aSize) override
+  {
+    return Wait(POLLOUT) ? send(mSocket, aBytes, aSize, MSG_NOSIGNAL) : -1;
+  }
+
+  // Needed only by servers.
+  void get_remote_ip_and_port(std::string&, int&) const override {}
+  void get_local_ip_and_port(std::string&, int&) const override {}
+
+  socket_t socket() const override { return mSocket; }
+
+private:
+  bool Wait(short aEvents) const
+  {
+    pollfd item{ mSocket, aEvents, 0 };
+    for (;;) {
+      const Duration left = mDeadline.Next() - Now();
+      if (left <= Duration(0)) {
+        return false;
+      }
+      const auto rounded = std::chrono::ceil<milliseconds>(left).count();
+      const int n = poll(&item, 1, static_cast<int>(rounded));
+      const bool isInterrupted = n < 0 && errno == EINTR;
+      if (n > 0 || (n < 0 && !isInterrupted)) {
+        return n > 0;
+      }
+    }
+  }
+
+  ssize_t Receive()
+  {
+    if (!Wait(POLLIN)) {
+      return -1;
+    }
+    const ssize_t n = recv(mSocket, mBuffer.data(), mBuffer.size(), 0);
+    if (n > 0) {
+      mBegin = 0;
+      mEnd = static_cast<size_t>(n);
+      mDeadline.OnBytes(Now(), mEnd);
+    }
+    return n;
+  }
+
+  static constexpr size_t kBufferBytes = 16 << 10;
+
+  int mSocket;
+  AnswerDeadline& mDeadline;
+  std::array<char, kBufferBytes> mBuffer;
+  size_t mBegin = 0;
+  size_t mEnd = 0;
+};
+
+// HTTP client whose calls end at a deadline that moves while bytes arrive.
+class DeadlineClient : public httplib::ClientImpl
+{
+public:
+  using httplib::ClientImpl::ClientImpl;
+
+  // Set before each call.
+  std::optional<AnswerDeadline> mDeadline;
+
+private:
+  bool process_socket(
+    const Socket& aSocket,
+    std::function<bool(httplib::Stream& aStream)> aCallback) override
+  {
+    DeadlineStream stream(aSocket.sock, *mDeadline);
+    return aCallback(stream);
+  }
+};
+
+std::string
+DescribeTimeout(const AnswerDeadline& aDeadline,
+                milliseconds aWait,
+                const CallTimeouts& aTimeouts,
+                uint64_t aReceived)
+{
+  switch (aDeadline.NextLimit()) {
+    case AnswerDeadline::Limit::FirstBytes:
+      return absl::StrCat(
+        "no answer within ", (aWait + aTimeouts.mAnswer).count(), " ms");
+    case AnswerDeadline::Limit::Progress:
+      return absl::StrCat("the answer stalled after ",
+                          aReceived,
+                          " bytes: fewer than ",
+                          AnswerDeadline::kMinProgress,
+                          " bytes in ",
+                          aTimeouts.mStall.count(),
+                          " ms");
+    case AnswerDeadline::Limit::Transfer:
+      break;
+  }
+  return absl::StrCat("the answer was not complete within ",
+                      aTimeouts.mTransfer.count(),
+                      " ms, after ",
+                      aReceived,
+                      " bytes");
+}
+
 } // namespace
 
 struct HttpCaller::State
@@ -66,8 +206,8 @@
   {
   }
 
-  httplib::Client mClient;
-  const httplib::Headers mHeaders;
+  DeadlineClient mClient;
+  httplib::Headers mHeaders;
   std::atomic<bool> mStopped{ false };
 };
 
@@ -80,15 +220,20 @@
   , mMaxBody(aMaxBody)
   , mState(std::make_unique<State>(aAddress))
 {
-  httplib::Client& client = mState->mClient;
+  DeadlineClient& client = mState->mClient;
   client.set_connection_timeout(aTimeouts.mConnect);
-  client.set_write_timeout(aTimeouts.mAnswer);
   client.set_keep_alive(true);
   client.set_tcp_nodelay(true);
 }
 
 HttpCaller::~HttpCaller() = default;
 
+void
+HttpCaller::AcceptCompressed()
+{
+  mState->mHeaders.emplace("Accept-Encoding", "gzip");
+}
+
 void
 HttpCaller::Stop()
 {
@@ -99,11 +244,6 @@
 CallResult
 HttpCaller::Get(const std::string& aPath, milliseconds aWait)
 {
-  const auto start = std::chrono::steady_clock::now();
-  const milliseconds limit = aWait + mTimeouts.mAnswer;
-  const auto isLate = [&] {
-    return std::chrono::steady_clock::now() - start >= limit;
-  };
   const std::string where = absl::StrCat(mWhere, aPath);
   CallResult out;
   bool tooLarge = false;
@@ -111,7 +251,8 @@
   if (mState->mStopped) {
     throw PlatformError(kStopped, where, "the client was stopped");
   }
-  mState->mClient.set_read_timeout(limit);
+  std::optional<AnswerDeadline>& deadline = mState->mClient.mDeadline;
+  deadline.emplace(Now(), aWait, mTimeouts);
   const auto result = mState->mClient.Get(
     aPath,
     mState->mHeaders,
@@ -123,7 +264,7 @@
       mLastBytes.mReceived += n;
       out.mBody.append(aBytes, n);
       tooLarge = out.mBody.size() > mMaxBody;
-      return !tooLarge && !isLate();
+      return !tooLarge && !deadline->HasPassed(Now());
     });
   mLastBytes.mSent = RequestBytes(aPath, mState->mHeaders);
   if (result) {
@@ -137,12 +278,17 @@
     throw PlatformError(
       kTooLarge, where, absl::StrCat("expected at most ", mMaxBody, " bytes"));
   }
-  if (isLate() || result.error() == httplib::Error::ConnectionTimeout) {
+  if (result.error() == httplib::Error::ConnectionTimeout) {
+    throw PlatformError(
+      kNoAnswer,
+      where,
+      absl::StrCat("no connection within ", mTimeouts.mConnect.count(), " ms"));
+  }
+  if (deadline->HasPassed(Now())) {
     throw PlatformError(
       kNoAnswer,
       where,
-      absl::StrCat(
-        "no connection, or no complete answer within ", limit.count(), " ms"));
+      DescribeTimeout(*deadline, aWait, mTimeouts, mLastBytes.mReceived));
   }
   if (mLastBytes.mReceived > 0) {
     throw PlatformError(kCutShort, where, "the answer was truncated");
--- a/tests/platform/EntriesTest.cpp
+++ b/tests/platform/EntriesTest.cpp
@@ -271,10 +271,14 @@
         return R"("\ud800")";
     }
   };
-  const char* const fields[] = { R"("s1")",    R"("10.128.0.9:8080")",
-                                 R"("a")",     R"("v1")",
-                                 "3",          R"("ready")",
-                                 "40",         "4",
+  const char* const fields[] = { R"("s1")",
+                                 R"("10.128.0.9:8080")",
+                                 R"("a")",
+                                 R"("v1")",
+                                 "3",
+                                 R"("ready")",
+                                 "40",
+                                 "4",
                                  "1768688591136" };
   for (int i = 0; i < 100'000; ++i) {
     std::string text = kEntry;
--- a/tests/platform/StandInStore.h
+++ b/tests/platform/StandInStore.h
@@ -76,6 +76,11 @@
   std::atomic<bool> mSendsMalformedJson{ false };
   // Delay before each answer.
   std::atomic<int> mDelayMs{ 0 };
+  // Rate at which answers are sent; zero for no limit.
+  std::atomic<size_t> mBytesPerSecond{ 0 };
+  // Number of bytes of an answer after which its connection goes silent; zero
+  // for no limit. Applies to the next answer only.
+  std::atomic<size_t> mSilentAfter{ 0 };
   // Number of calls so far.
   std::atomic<int> mCalls{ 0 };
 
@@ -121,7 +126,29 @@
     const json answer = { { "items", items },
                           { "has_more", it != mItems.end() },
                           { "current_rev", mRevision } };
-    aResponse.set_content(answer.dump(), "application/json");
+    Send(answer.dump(), aResponse);
+  }
+  void Send(const std::string& aBody, httplib::Response& aResponse)
+  {
+    if (mBytesPerSecond == 0 && mSilentAfter == 0) {
+      aResponse.set_content(aBody, "application/json");
+      return;
+    }
+    constexpr size_t kPiecesPerSecond = 20;
+    const size_t silentAfter = mSilentAfter.exchange(0);
+    const size_t end = silentAfter == 0 ? aBody.size() : silentAfter;
+    const size_t piece =
+      mBytesPerSecond == 0 ? aBody.size() : mBytesPerSecond / kPiecesPerSecond;
+    aResponse.set_content_provider(
+      aBody.size(),
+      "application/json",
+      [=](size_t aOffset, size_t, httplib::DataSink& aSink) {
+        std::this_thread::sleep_for(milliseconds(1000 / kPiecesPerSecond));
+        const size_t n = std::min(piece, end - std::min(aOffset, end));
+        // After the last bytes that are sent, the client ends the connection.
+        return n == 0 ? aSink.is_writable()
+                      : aSink.write(aBody.data() + aOffset, n);
+      });
   }
   void Watch(const httplib::Request& aRequest, httplib::Response& aResponse)
   {
@@ -141,7 +168,7 @@
       }
     }
     const json answer = { { "events", events }, { "current_rev", mRevision } };
-    aResponse.set_content(answer.dump(), "application/json");
+    Send(answer.dump(), aResponse);
   }
 
   Server mServer;
--- a/tests/platform/StoreClientTest.cpp
+++ b/tests/platform/StoreClientTest.cpp
@@ -186,6 +186,51 @@
   CHECK(client.ReadChanges(update.mConfirmed, 10ms).mUpstreams.size() == 1);
 }
 
+TEST_CASE("A long configuration arrives over a slow link", "[platform][store]")
+{
+  StandInStore store;
+  store.Put("op/config",
+            std::string(kConfiguration) + std::string(120'000, ' '));
+  store.mBytesPerSecond = 100'000;
+  StoreClient client(store.ListenAddress());
+  const bool isListing = GENERATE(true, false);
+  const flow::ReplicaUpdate update =
+    isListing ? client.ReadAll() : client.ReadChanges(100, 10ms);
+  CHECK(update.mConfiguration);
+  CHECK(store.mCalls == 1);
+  // A listing is as old as its first page.
+  CHECK((update.mAge >= 1s) == isListing);
+}
+
+TEST_CASE("A listing continues after a connection that went silent",
+          "[platform][store]")
+{
+  StandInStore store;
+  for (const char* it : { "servers/i-1", "servers/i-2", "servers/i-3" }) {
+    store.Put(it, MakeEntry());
+  }
+  StoreClient client(store.ListenAddress());
+  CHECK(ErrorOf([&] { client.ReadAll(1); }) == 813);
+  store.mSilentAfter = 50;
+  CHECK(ErrorOf([&] { client.ReadAll(); }) == 802);
+  CHECK(client.ReadAll().mUpstreams.size() == 3);
+  CHECK(store.mCalls == 3);
+}
+
+TEST_CASE("A listing continues after any key", "[platform][store]")
+{
+  StandInStore store;
+  store.Put("servers/!&=#%20?+ i-1", MakeEntry());
+  store.Put("servers/&prefix=x", MakeEntry());
+  store.Put("servers/i-1", MakeEntry());
+  store.Put("servers/i-2", MakeEntry());
+  StoreClient client(store.ListenAddress());
+  CHECK(ErrorOf([&] { client.ReadAll(1); }) == 813);
+  const flow::ReplicaUpdate update = client.ReadAll(1);
+  REQUIRE(update.mUpstreams.size() == 4);
+  CHECK(update.mUpstreams[2].mId == "i-1");
+}
+
 TEST_CASE("An unreachable store throws PlatformError 801", "[platform][store]")
 {
   StoreClient client(Address{ 0x7F000001, 1 });
--- a/tests/unit/FleetTest.cpp
+++ b/tests/unit/FleetTest.cpp
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include <map>
+#include <set>
 
 #include "foxtail/flow/Fleet.h"
 
@@ -70,6 +71,30 @@
 
 } // namespace
 
+TEST_CASE("A replica is asked of any ready member, first of the own domain",
+          "[flow][fleet]")
+{
+  Fleet fleet = MakeFleet(2, { 4 });
+  const auto pickOften = [&](TimePoint aNow) {
+    std::set<VmIp> picked;
+    for (int i = 0; i < 200; ++i) {
+      picked.insert(fleet.PickReadyMember(aNow).value_or(0));
+    }
+    return picked;
+  };
+  CHECK(pickOften(kStart) == std::set<VmIp>{ 0 });
+  fleet.OnHeartbeat(kStart, 3, MakeHeartbeat(3, 1));
+  fleet.OnHeartbeat(kStart, 5, MakeHeartbeat(5, 1));
+  CHECK(pickOften(kStart) == std::set<VmIp>{ 3, 5 });
+  fleet.OnHeartbeat(kStart, 4, MakeHeartbeat(4, 1));
+  fleet.OnHeartbeat(kStart, 6, MakeHeartbeat(6, 1));
+  fleet.OnHeartbeat(kStart, 8, MakeHeartbeat(8, 1, false));
+  CHECK(pickOften(kStart) == std::set<VmIp>{ 4, 6 });
+  const TimePoint later = kStart + Fleet::kDirectTimeout;
+  fleet.OnHeartbeat(later, 6, MakeHeartbeat(6, 2));
+  CHECK(pickOften(later) == std::set<VmIp>{ 6 });
+}
+
 TEST_CASE("Balancers find one another by any living seed", "[flow][fleet]")
 {
   const size_t count = GENERATE(7, 30, 120);
