VMs with more processor share broker most services

Cause: the broker of a service was any VM by hash; on the large site 12 of 13 have 0.12 of a core, the others 0.5, and all new flows of a service pass its broker.

Change: heartbeats carry the processor share (settings limits.cpu_share, cores); the rendezvous hash is weighted by its fourth power. A VM that tells none counts as 0.1 of a core.

Test: "VMs with more processor share are the brokers of most services".

--- a/include/foxtail/flow/Fleet.h
+++ b/include/foxtail/flow/Fleet.h
@@ -76,6 +76,10 @@
                                  VmIp aFrom,
                                  const Heartbeat& aHeartbeat);
 
+  // Called after this process stood still for aPause: the silence of the others
+  // during it does not count, and the fabric may have moved flows.
+  void OnPause(TimePoint aNow, Duration aPause);
+
   // A heartbeat that is due and its recipients. The caller fills in the
   // revisions of its replica.
   struct HeartbeatRound
@@ -98,9 +102,11 @@
   // kMinSuspicionTime again. An exclusion in progress does not end.
   void ResetSuspicion(VmIp aBroker);
 
-  // Returns the broker of a service: the first by rendezvous hash among the
-  // members that are ready, alive and not suspected, or this balancer if there
-  // is none. Balancers with the same view agree on it.
+  // Returns the broker of a service: the first by weighted rendezvous hash
+  // among the members that are ready, alive and not suspected, or this balancer
+  // if there is none. Balancers with the same view agree on it. The work of a
+  // broker grows with the fleet, so a member with twice the processor share is
+  // chosen 16 times as often.
   VmIp BrokerOf(TimePoint aNow, uint32_t aService) const;
 
   // Returns the rank of this balancer among the readers of the publisher: the
--- a/include/foxtail/flow/PeerMessages.h
+++ b/include/foxtail/flow/PeerMessages.h
@@ -32,6 +32,9 @@
   // Whether the member takes part in brokering: it has a configuration and
   // upstreams.
   bool mIsReady = false;
+  // Processor time that the member may use, in thousandths of a core; zero if
+  // unknown.
+  uint32_t mProcessorShare = 0;
 };
 
 struct Heartbeat
--- a/src/flow/Fleet.cpp
+++ b/src/flow/Fleet.cpp
@@ -1,6 +1,7 @@
 #include "foxtail/flow/Fleet.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "absl/strings/str_cat.h"
 
@@ -14,6 +15,23 @@
 // ranks are independent of the choice of brokers.
 constexpr uint64_t kReaderHashKey = 0x7EAD;
 
+// Processor share of a member that has not told its own.
+constexpr uint32_t kUnknownShare = 100;
+
+// Returns the rank of a member among the possible brokers of a service; the
+// lowest one is the broker.
+double
+BrokerRank(uint32_t aService, const MemberRecord& aMember)
+{
+  // A number in (0, 1) from the upper 53 bits of the hash.
+  const uint64_t hash = MixHash(aService, aMember.mIp);
+  const double uniform =
+    (static_cast<double>(hash >> 11U) + 0.5) / static_cast<double>(1ULL << 53U);
+  const double share =
+    aMember.mProcessorShare == 0 ? kUnknownShare : aMember.mProcessorShare;
+  return -std::log(uniform) / (share * share * share * share);
+}
+
 std::string
 Describe(const MemberRecord& aRecord)
 {
@@ -106,7 +124,10 @@
                                     " reason=beat-of-another-vm") });
     return events;
   }
-  if (!UsesDirectHeartbeats() && aHeartbeat.mKnownMembers < AliveCount(aNow)) {
+  // A peer that isn't ready must learn who has a replica.
+  const bool needsNews = aHeartbeat.mKnownMembers < AliveCount(aNow) ||
+                         (mSelf.mIsReady && !aHeartbeat.mSelf.mIsReady);
+  if (!UsesDirectHeartbeats() && needsNews) {
     mCatchUpPeer = aFrom;
   }
   if (MergeRecord(aNow, aHeartbeat.mSelf)) {
@@ -124,6 +145,17 @@
   return events;
 }
 
+void
+Fleet::OnPause(TimePoint aNow, Duration aPause)
+{
+  for (auto& [ip, member] : mMembers) {
+    member.mLastHeard += aPause;
+  }
+  mBrokersChangedAt = aNow;
+  mDomainMembersChangedAt = aNow;
+  mNextHeartbeat = aNow;
+}
+
 std::vector<VmIp>
 Fleet::PickTargets()
 {
@@ -262,19 +294,22 @@
 VmIp
 Fleet::BrokerOf(TimePoint aNow, uint32_t aService) const
 {
-  VmIp best = mSelf.mIp;
-  uint64_t bestWeight = mSelf.mIsReady ? MixHash(aService, mSelf.mIp) : 0;
+  const MemberRecord* best = mSelf.mIsReady ? &mSelf : nullptr;
+  double bestRank = best == nullptr ? 0 : BrokerRank(aService, mSelf);
   for (const auto& [ip, member] : mMembers) {
     const bool serves = member.mRecord.mIsReady &&
                         WasHeardRecently(aNow, member) &&
                         member.mSuspectedUntil <= aNow;
-    const uint64_t weight = MixHash(aService, ip);
-    if (serves && weight > bestWeight) {
-      best = ip;
-      bestWeight = weight;
+    if (!serves) {
+      continue;
+    }
+    const double rank = BrokerRank(aService, member.mRecord);
+    if (best == nullptr || rank < bestRank) {
+      best = &member.mRecord;
+      bestRank = rank;
     }
   }
-  return best;
+  return best == nullptr ? mSelf.mIp : best->mIp;
 }
 
 size_t
--- a/src/net/FlowCodec.cpp
+++ b/src/net/FlowCodec.cpp
@@ -71,16 +71,15 @@
   aOut.set_pulse(aRecord.mHeartbeatCount);
   aOut.set_domain(aRecord.mDomain);
   aOut.set_ready(aRecord.mIsReady);
+  aOut.set_processor_share(aRecord.mProcessorShare);
 }
 
 flow::MemberRecord
 Read(const wire::FlowMember& aIn)
 {
-  return { aIn.ip(),
-           aIn.incarnation(),
-           aIn.pulse(),
-           ReadDomain(aIn.domain()),
-           aIn.ready() };
+  return { aIn.ip(),    aIn.incarnation(),
+           aIn.pulse(), ReadDomain(aIn.domain()),
+           aIn.ready(), aIn.processor_share() };
 }
 
 void
--- a/tests/platform/EntriesTest.cpp
+++ b/tests/platform/EntriesTest.cpp
@@ -30,7 +30,7 @@
   R"("10.1.0.10:8172","ready_addr":"10.1.0.10:8167"},"internal_ports":)"
   R"([7720,7735],"seeds":["10.1.0.10:8166","10.2.0.40:8166"],)"
   R"("platform":{"address":"10.200.1.7:8169"},"bounds":{"grace_s":6},)"
-  R"("new":true})";
+  R"("limits":{"cpu_share":0.25,"cores":2},"new":true})";
 
 std::string
 Replace(std::string aText, const std::string& aOld, const std::string& aNew)
@@ -207,6 +207,7 @@
   CHECK(settings.mReplicaAddress.ToString() == "10.1.0.10:7721");
   CHECK(settings.mSeeds.size() == 2);
   CHECK(settings.mGraceTime == 6s);
+  CHECK(settings.mProcessorShare == 500);
 
   struct Case
   {
@@ -221,6 +222,7 @@
     { R"("node":"n1")", R"("node":1)", 106 },
     { "[7720,7735]", "[7720]", 107 },
     { "[7720,7735]", "[7735,7720]", 107 },
+    { "0.25", "true", 106 },
     { "10.200.1.7:8169", "store", 108 },
     { "10.2.0.40:8166", "10.2.0:8166", 108 },
     { "{", "", 102 },
@@ -251,7 +253,7 @@
         const std::string key = R"({"a":)";
         std::string text = "1";
         for (size_t n = pick(60); n > 0; --n) {
-          text = key + text + "}";
+          text.insert(0, key).append("}");
         }
         return text;
       }
--- a/tests/unit/FleetTest.cpp
+++ b/tests/unit/FleetTest.cpp
@@ -71,6 +71,41 @@
 
 } // namespace
 
+TEST_CASE("VMs with more processor share are the brokers of most services",
+          "[flow][fleet]")
+{
+  constexpr VmIp kMembers = 60;
+  constexpr uint32_t kServices = 500;
+  // Every fifth member has four times the share of the others.
+  const auto isStrong = [](VmIp aIp) { return aIp % 5 == 0; };
+  Fleet fleet = MakeFleet(1, {});
+  for (VmIp it = 2; it <= kMembers; ++it) {
+    Heartbeat heartbeat = MakeHeartbeat(it, 1);
+    heartbeat.mSelf.mProcessorShare = isStrong(it) ? 480 : 120;
+    fleet.OnHeartbeat(kStart, it, heartbeat);
+  }
+  std::set<VmIp> brokers;
+  uint32_t strong = 0;
+  for (uint32_t service = 0; service < kServices; ++service) {
+    const VmIp broker = fleet.BrokerOf(kStart, service);
+    strong += isStrong(broker) ? 1 : 0;
+    brokers.insert(broker);
+  }
+  CHECK(strong >= kServices * 95 / 100);
+  // The services are spread over all of them.
+  CHECK(brokers.size() >= kMembers / 5);
+  // Without the strong ones, the others take over.
+  const TimePoint later = kStart + 1s;
+  for (VmIp it = 2; it <= kMembers; ++it) {
+    if (isStrong(it)) {
+      fleet.SuspectBroker(later, it);
+    }
+  }
+  for (uint32_t service = 0; service < kServices; ++service) {
+    CHECK_FALSE(isStrong(fleet.BrokerOf(later, service)));
+  }
+}
+
 TEST_CASE("A replica is asked of any ready member, first of the own domain",
           "[flow][fleet]")
 {
