--- a/include/foxtail/daemon/StatusServer.h
+++ b/include/foxtail/daemon/StatusServer.h
@@ -24,9 +24,12 @@
 class StatusServer
 {
 public:
+  static constexpr size_t kDefaultThreads = 2;
+
   using Handler = std::function<std::string(const StatusQuery&)>;
 
-  StatusServer();
+  // Handles up to aThreads connections at a time.
+  explicit StatusServer(size_t aThreads = kDefaultThreads);
   ~StatusServer();
 
   // Answers GET aPath with the return value of aHandler. If aHandler throws an
@@ -35,6 +38,14 @@
              const std::string& aContentType,
              Handler aHandler);
 
+  // Like Serve, for answers that take long to transfer: while aMaxTransfers of
+  // them are in progress, further requests are refused with 503 at once, so
+  // that their clients turn to another server.
+  void ServeLimited(const std::string& aPath,
+                    const std::string& aContentType,
+                    size_t aMaxTransfers,
+                    Handler aHandler);
+
   // Throws DaemonError 910 if aAddress cannot be bound.
   void Start(const Address& aAddress);
   void Stop();
--- a/include/foxtail/flow/FlowBalancer.h
+++ b/include/foxtail/flow/FlowBalancer.h
@@ -185,7 +185,7 @@
   // a balancer that is not a seed therefore asks for at most kMaxStartupPages
   // pages. If the listing is longer, the balancer gets the records from a peer,
   // and tries the publisher again after kLongListingRetryDelay.
-  static constexpr size_t kMaxStartupPages = 3;
+  static constexpr size_t kMaxStartupPages = 2;
   static constexpr milliseconds kLongListingDelay{ 4000 };
   static constexpr milliseconds kLongListingRetryDelay{ 1500 };
   // Time after the start for which no flows are placed, so that heartbeats of
--- a/include/foxtail/net/FlowCodec.h
+++ b/include/foxtail/net/FlowCodec.h
@@ -22,13 +22,18 @@
 flow::PeerMessage
 DecodeFlowMessage(std::string_view aBytes);
 
-// Encodes a replica update as JSON, for transfer over HTTP.
+// Encodes a replica update, for transfer over HTTP.
 std::string
 EncodeReplica(const flow::ReplicaUpdate& aUpdate);
 
-// Decodes a replica update. Throws PeerError 742 when the text is malformed.
+// Returns bytes that, appended to an encoded replica update, replace its
+// confirmed revision and age.
+std::string
+EncodeConfirmation(flow::Revision aConfirmed, milliseconds aAge);
+
+// Decodes a replica update. Throws PeerError 742 when it is malformed.
 flow::ReplicaUpdate
-DecodeReplica(std::string_view aText);
+DecodeReplica(std::string_view aBytes);
 
 } // namespace foxtail::net
 
--- a/src/daemon/StatusServer.cpp
+++ b/src/daemon/StatusServer.cpp
@@ -1,6 +1,7 @@
 #include "foxtail/daemon/StatusServer.h"
 
 #include <atomic>
+#include <optional>
 
 #include <httplib.h>
 #include <sys/socket.h>
@@ -13,11 +14,37 @@
 
 namespace {
 
-constexpr size_t kThreadCount = 4;
+constexpr int kBusyStatus = 503;
 // Connections that wait to be accepted. The default of httplib is 5; further
 // ones would be retried by their clients only after a second.
 constexpr int kBacklog = 128;
 
+void
+SetError(httplib::Response& aResponse, int aStatus, const std::string& aText)
+{
+  aResponse.status = aStatus;
+  aResponse.set_content(nlohmann::json{ { "error", aText } }.dump(),
+                        "application/json");
+}
+
+// Returns the handler's answer. If the handler throws an Error, sets it in the
+// response and returns nothing.
+std::optional<std::string>
+CallHandler(const StatusServer::Handler& aHandler,
+            const httplib::Request& aRequest,
+            httplib::Response& aResponse)
+{
+  constexpr int kBadRequest = 400;
+  try {
+    return aHandler({ aRequest.get_param_value("caller"),
+                      aRequest.get_param_value("service"),
+                      aRequest.get_param_value("after") });
+  } catch (const Error& e) {
+    SetError(aResponse, kBadRequest, e.what());
+    return std::nullopt;
+  }
+}
+
 } // namespace
 
 struct StatusServer::Impl
@@ -28,11 +55,11 @@
   std::thread mThread;
 };
 
-StatusServer::StatusServer()
+StatusServer::StatusServer(size_t aThreads)
   : mImpl(std::make_unique<Impl>())
 {
-  mImpl->mServer.new_task_queue = [] {
-    return new httplib::ThreadPool(kThreadCount);
+  mImpl->mServer.new_task_queue = [aThreads] {
+    return new httplib::ThreadPool(aThreads);
   };
   mImpl->mServer.set_socket_options([this](int aSocket) {
     httplib::default_socket_options(aSocket);
@@ -54,16 +81,41 @@
     aPath,
     [aContentType, handler = std::move(aHandler)](
       const httplib::Request& aRequest, httplib::Response& aResponse) {
-      try {
-        const StatusQuery query{ aRequest.get_param_value("caller"),
-                                 aRequest.get_param_value("service"),
-                                 aRequest.get_param_value("after") };
-        aResponse.set_content(handler(query), aContentType);
-      } catch (const Error& e) {
-        aResponse.status = 400;
-        aResponse.set_content(nlohmann::json{ { "error", e.what() } }.dump(),
-                              "application/json");
+      if (const auto body = CallHandler(handler, aRequest, aResponse)) {
+        aResponse.set_content(*body, aContentType);
+      }
+    });
+}
+
+void
+StatusServer::ServeLimited(const std::string& aPath,
+                           const std::string& aContentType,
+                           size_t aMaxTransfers,
+                           Handler aHandler)
+{
+  const auto active = std::make_shared<std::atomic<size_t>>(0);
+  mImpl->mServer.Get(
+    aPath,
+    [=, handler = std::move(aHandler)](const httplib::Request& aRequest,
+                                       httplib::Response& aResponse) {
+      if (++*active > aMaxTransfers) {
+        --*active;
+        SetError(aResponse, kBusyStatus, "busy with other transfers");
+        return;
+      }
+      auto body = CallHandler(handler, aRequest, aResponse);
+      if (!body) {
+        --*active;
+        return;
       }
+      aResponse.set_chunked_content_provider(
+        aContentType,
+        [text = std::move(*body)](size_t, httplib::DataSink& aSink) {
+          const bool isSent = aSink.write(text.data(), text.size());
+          aSink.done();
+          return isSent;
+        },
+        [active](bool) { --*active; });
     });
 }
 
--- a/tests/ScriptedServer.h
+++ b/tests/ScriptedServer.h
@@ -2,6 +2,7 @@
 #define tests_ScriptedServer_h
 
 #include <atomic>
+#include <stdexcept>
 #include <string>
 #include <thread>
 #include <vector>
@@ -38,9 +39,13 @@
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t size = sizeof(address);
     auto* raw = reinterpret_cast<sockaddr*>(&address);
-    bind(mSocket, raw, size);
-    listen(mSocket, 8);
-    getsockname(mSocket, raw, &size);
+    constexpr int kBacklog = 8;
+    const bool isListening = bind(mSocket, raw, size) == 0 &&
+                             listen(mSocket, kBacklog) == 0 &&
+                             getsockname(mSocket, raw, &size) == 0;
+    if (!isListening) {
+      throw std::runtime_error("cannot listen on a loopback port");
+    }
     mAddress = { INADDR_LOOPBACK, ntohs(address.sin_port) };
     mThread = std::thread([this] { Run(); });
   }
--- a/tests/unit/FlowCodecTest.cpp
+++ b/tests/unit/FlowCodecTest.cpp
@@ -156,6 +156,11 @@
   const std::string text = EncodeReplica(update);
   CHECK(EncodeReplica(DecodeReplica(text)) == text);
   CHECK(DecodeReplica(text).mUpstreams.at(0).mInstance == 0x51385b0168);
+  const ReplicaUpdate aged = DecodeReplica(text + EncodeConfirmation(15, 70ms));
+  CHECK(aged.mAge == 70ms);
+  update.mAge = 70ms;
+  update.mConfirmed = 15;
+  CHECK(EncodeReplica(aged) == EncodeReplica(update));
 }
 
 TEST_CASE("Corrupted replicas are decoded or refused with error 742",
--- a/tests/unit/HttpCallerTest.cpp
+++ b/tests/unit/HttpCallerTest.cpp
@@ -14,7 +14,6 @@
 namespace {
 
 constexpr size_t kMaxBody = 1 << 20;
-constexpr uint16_t kPort = 29417;
 constexpr CallTimeouts kTimeouts{ 1s, 400ms, 300ms, 1500ms };
 
 // Bytes that arrive in regular pieces, from the start of a call on.
@@ -47,6 +46,27 @@
   return { aCount, { aInterval, std::string(aBytes, 'x') } };
 }
 
+// Returns an address of which no other test run is likely to use the port.
+Address
+FreeAddress()
+{
+  return ScriptedServer({}).ListenAddress();
+}
+
+int
+ConnectTo(const Address& aAddress)
+{
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(aAddress.mIp);
+  address.sin_port = htons(aAddress.mPort);
+  const int result = socket(AF_INET, SOCK_STREAM, 0);
+  REQUIRE(connect(result,
+                  reinterpret_cast<const sockaddr*>(&address),
+                  sizeof(address)) == 0);
+  return result;
+}
+
 struct AnswerCase
 {
   const char* mName;
@@ -127,15 +147,60 @@
   CHECK_THAT(text, Catch::Contains(it.mText));
 }
 
+TEST_CASE(
+  "While its transfers take long, a server refuses further ones at once",
+  "[net]")
+{
+  std::string body(8 << 20, 'x');
+  std::atomic<int> calls{ 0 };
+  daemon::StatusServer server(3);
+  server.ServeLimited(
+    "/replica", "application/octet-stream", 2, [&](const daemon::StatusQuery&) {
+      ++calls;
+      return body;
+    });
+  const Address address = FreeAddress();
+  server.Start(address);
+  // Clients that ask, and read nothing of the answer.
+  const std::string request = "GET /replica HTTP/1.1\r\n\r\n";
+  int silent[2];
+  for (int& it : silent) {
+    it = ConnectTo(address);
+    send(it, request.data(), request.size(), 0);
+  }
+  while (calls < 2) {
+    std::this_thread::sleep_for(1ms);
+  }
+  HttpCaller caller("stand-in", address, kTimeouts, body.size());
+  CHECK(caller.Get("/replica", 0ms).mStatus == 503);
+  CHECK(calls == 2);
+  for (const int it : silent) {
+    close(it);
+  }
+  // The ended transfers count no longer.
+  int status = 0;
+  for (int i = 0; i < 500 && status != 200; ++i) {
+    status = caller.Get("/replica", 0ms).mStatus;
+    std::this_thread::sleep_for(10ms);
+  }
+  CHECK(status == 200);
+}
+
 TEST_CASE("A compressed answer is the same", "[net]")
 {
-  const std::string body(200'000, 'x');
+  std::string body(200'000, 'x');
   daemon::StatusServer server;
-  server.Serve("/replica", "application/json", [&](const daemon::StatusQuery&) {
-    return body;
-  });
-  server.Start({ 0x7F000001, kPort });
-  HttpCaller caller("stand-in", { 0x7F000001, kPort }, kTimeouts, kMaxBody);
+  const auto handler = [&](const daemon::StatusQuery&) {
+    return std::string(body);
+  };
+  if (GENERATE(true, false)) {
+    server.Serve("/replica", "application/json", handler);
+  } else {
+    server.ServeLimited("/replica", "application/protobuf", 1, handler);
+  }
+  const Address address = FreeAddress();
+  server.Start(address);
+  HttpCaller caller("stand-in", address, kTimeouts, kMaxBody);
   caller.AcceptCompressed();
   for (int i = 0; i < 2; ++i) {
     CHECK(caller.Get("/replica", 0ms).mBody == body);
