Regular heartbeats go on while many members start

A member that leaves counted as one without a replica.

Change: after a round to a member that needs news comes a regular one; a member lacks a replica when it is not ready and has confirmed nothing.

--- a/include/foxtail/flow/Fleet.h
+++ b/include/foxtail/flow/Fleet.h
@@ -38,8 +38,8 @@
   // in gossip mode.
   static constexpr size_t kDirectRecords = 2;
   static constexpr size_t kGossipRecords = 8;
-  // Records in a heartbeat to a peer that knows fewer members than this
-  // balancer. They fit into one datagram.
+  // Records in a heartbeat to a peer that needs news, see mCatchUpPeer. They
+  // fit into one datagram.
   static constexpr size_t kCatchUpRecords = 32;
   // Time without a heartbeat after which a peer counts as dead while heartbeats
   // go to all peers. Three heartbeats may be lost or late.
@@ -149,8 +149,11 @@
   std::vector<VmIp> mSeeds;
   std::mt19937_64 mRandom;
   std::map<VmIp, Member> mMembers;
-  // A peer that knows fewer members than this balancer; zero if there is none.
+  // A peer that knows fewer members than this balancer or lacks a replica; zero
+  // if there is none.
   VmIp mCatchUpPeer = 0;
+  // The last round went to such a peer; the next one is a regular one.
+  bool mIsCatchUpRound = false;
   TimePoint mNextHeartbeat;
   TimePoint mLastHeartbeat;
   TimePoint mBrokersChangedAt;
--- a/src/flow/Fleet.cpp
+++ b/src/flow/Fleet.cpp
@@ -124,9 +124,11 @@
                                     " reason=beat-of-another-vm") });
     return events;
   }
-  // A peer that isn't ready must learn who has a replica.
+  // A peer without a replica must learn who has one.
+  const bool lacksReplica =
+    !aHeartbeat.mSelf.mIsReady && aHeartbeat.mConfirmed == 0;
   const bool needsNews = aHeartbeat.mKnownMembers < AliveCount(aNow) ||
-                         (mSelf.mIsReady && !aHeartbeat.mSelf.mIsReady);
+                         (mSelf.mIsReady && lacksReplica);
   if (!UsesDirectHeartbeats() && needsNews) {
     mCatchUpPeer = aFrom;
   }
@@ -223,9 +225,10 @@
   round.mHeartbeat.mSelf = mSelf;
   round.mHeartbeat.mKnownMembers = static_cast<uint32_t>(AliveCount(aNow));
   size_t records = UsesDirectHeartbeats() ? kDirectRecords : kGossipRecords;
-  if (mCatchUpPeer != 0) {
-    // A peer that knows fewer members gets many records in a heartbeat of its
-    // own. The next regular round follows after half an interval.
+  mIsCatchUpRound = mCatchUpPeer != 0 && !mIsCatchUpRound;
+  if (mIsCatchUpRound) {
+    // A peer that needs news gets many records in a heartbeat of its own. The
+    // next regular round follows after half an interval.
     round.mTargets = { mCatchUpPeer };
     mCatchUpPeer = 0;
     records = kCatchUpRecords;
--- a/tests/unit/FleetTest.cpp
+++ b/tests/unit/FleetTest.cpp
@@ -106,6 +106,32 @@
   }
 }
 
+TEST_CASE("Regular heartbeats go on while many members start", "[flow][fleet]")
+{
+  constexpr VmIp kMembers = 60;
+  Fleet fleet = MakeFleet(1, {});
+  uint64_t count = 0;
+  size_t regular = 0;
+  size_t catchUp = 0;
+  for (TimePoint now = kStart; now < kStart + 5s; now += 25ms) {
+    ++count;
+    // Every second member has no replica yet.
+    for (VmIp it = 2; it <= kMembers; ++it) {
+      Heartbeat heartbeat = MakeHeartbeat(it, count, it % 2 == 0);
+      heartbeat.mConfirmed = it % 2 == 0 ? 7 : 0;
+      heartbeat.mKnownMembers = kMembers;
+      fleet.OnHeartbeat(now, it, heartbeat);
+    }
+    if (const auto round = fleet.TakeDueRound(now)) {
+      const bool isRegular = round->mTargets.size() > 1;
+      ++(isRegular ? regular : catchUp);
+      CHECK((isRegular || round->mTargets.front() % 2 == 1));
+    }
+  }
+  CHECK(regular >= 10);
+  CHECK(catchUp >= 10);
+}
+
 TEST_CASE("A replica is asked of any ready member, first of the own domain",
           "[flow][fleet]")
 {
