After a pause, reports go on with newer sequence numbers

Cause, found by reading: the sessions with brokers began anew with sequence number 1 after a pause, and a broker that had not dropped this balancer yet (it does so 1 s after the last report, a pause is 1 s or more) ignored such reports; two unanswered ones make a balancer suspect its broker for a second.

Change: sequence numbers and the grants seen are kept. Beside it, a transfer of a replica is counted until its response is destroyed, also if its handler fails in an unexpected way.

--- a/src/daemon/StatusServer.cpp
+++ b/src/daemon/StatusServer.cpp
@@ -98,24 +98,24 @@
     aPath,
     [=, handler = std::move(aHandler)](const httplib::Request& aRequest,
                                        httplib::Response& aResponse) {
+      // Counts the transfer until the response is destroyed.
+      const std::shared_ptr<void> transfer(nullptr,
+                                           [active](void*) { --*active; });
       if (++*active > aMaxTransfers) {
-        --*active;
         SetError(aResponse, kBusyStatus, "busy with other transfers");
         return;
       }
       auto body = CallHandler(handler, aRequest, aResponse);
       if (!body) {
-        --*active;
         return;
       }
       aResponse.set_chunked_content_provider(
         aContentType,
-        [text = std::move(*body)](size_t, httplib::DataSink& aSink) {
+        [text = std::move(*body), transfer](size_t, httplib::DataSink& aSink) {
           const bool isSent = aSink.write(text.data(), text.size());
           aSink.done();
           return isSent;
-        },
-        [active](bool) { --*active; });
+        });
     });
 }
 
--- a/src/flow/FlowBalancer.cpp
+++ b/src/flow/FlowBalancer.cpp
@@ -500,7 +500,14 @@
   mPendingByKey.clear();
   mFlowTracker = {};
   mBroker = SlotBroker(mSettings.mRandomSeed + 1);
-  mBrokerSessions.clear();
+  for (auto& [service, session] : mBrokerSessions) {
+    BrokerSession renewed;
+    renewed.mName = session.mName;
+    // Brokers ignore reports that seem older than the last one.
+    renewed.mSequence = session.mSequence;
+    renewed.mGrantsSeen = session.mGrantsSeen;
+    session = std::move(renewed);
+  }
   mFleet.OnPause(aNow, aPause);
   mHasRoutedDeferred = false;
   mNextRead = aNow;
--- a/tests/contracts/FlowFleetTest.cpp
+++ b/tests/contracts/FlowFleetTest.cpp
@@ -108,6 +108,42 @@
     false },
 };
 
+// A balancer of one service with one upstream and one slot.
+flow::FlowBalancer
+MakeBalancer(TimePoint aStart)
+{
+  flow::FlowBalancerSettings settings;
+  settings.mSelf = { 1, 1, 0, "a", false };
+  flow::FlowBalancer balancer(aStart, settings);
+  flow::ReplicaUpdate update;
+  update.mIsFullListing = true;
+  update.mConfirmed = 5;
+  flow::Configuration configuration;
+  configuration.mRoutes = {
+    { "r", { 9, 80 }, { { "s", 1 } }, true, 1s, 250ms, 1 }
+  };
+  update.mConfiguration = configuration;
+  flow::UpstreamRecord record;
+  record.mId = "x";
+  record.mRevision = 1;
+  record.mState = flow::UpstreamState::Ready;
+  record.mInstance = 1;
+  record.mService = "s";
+  record.mSlots = 1;
+  update.mUpstreams = { record };
+  balancer.OnReadResult(aStart, update, "store");
+  return balancer;
+}
+
+// Returns the report to a broker, or null if the action is none.
+const flow::SlotReport*
+FindReport(const flow::FlowAction& aAction)
+{
+  const auto* send = std::get_if<flow::SendToPeer>(&aAction);
+  return send != nullptr ? std::get_if<flow::SlotReport>(&send->mMessage)
+                         : nullptr;
+}
+
 } // namespace
 
 TEST_CASE("The guarantees hold in every fault scenario", "[flow][fleet]")
@@ -348,27 +384,8 @@
 TEST_CASE("A balancer with more waiting flows than a report holds asks for all",
           "[flow][fleet]")
 {
-  flow::FlowBalancerSettings settings;
-  settings.mSelf = { 1, 1, 0, "a", false };
   const TimePoint start{ 100s };
-  flow::FlowBalancer balancer(start, settings);
-  flow::ReplicaUpdate update;
-  update.mIsFullListing = true;
-  update.mConfirmed = 5;
-  flow::Configuration configuration;
-  configuration.mRoutes = {
-    { "r", { 9, 80 }, { { "s", 1 } }, true, 1s, 250ms, 1 }
-  };
-  update.mConfiguration = configuration;
-  flow::UpstreamRecord record;
-  record.mId = "x";
-  record.mRevision = 1;
-  record.mState = flow::UpstreamState::Ready;
-  record.mInstance = 1;
-  record.mService = "s";
-  record.mSlots = 1;
-  update.mUpstreams = { record };
-  balancer.OnReadResult(start, update, "store");
+  flow::FlowBalancer balancer = MakeBalancer(start);
   // The broker is a peer that receives every report and answers none.
   flow::Heartbeat heartbeat;
   heartbeat.mSelf = { 7, 1, 1, "a", true };
@@ -389,9 +406,7 @@
     }
     for (const flow::FlowAction& it : actions) {
       const auto* send = std::get_if<flow::SendToPeer>(&it);
-      const auto* report = send != nullptr
-                             ? std::get_if<flow::SlotReport>(&send->mMessage)
-                             : nullptr;
+      const auto* report = FindReport(it);
       if (report == nullptr) {
         continue;
       }
@@ -408,3 +423,44 @@
   CHECK(brokers.count(7) == 1);
   CHECK(requested.size() >= flow::FlowBalancer::kMaxRequestsPerReport);
 }
+
+// A broker ignores reports whose sequence numbers are not newer.
+TEST_CASE("After a pause a balancer goes on with newer reports",
+          "[flow][fleet]")
+{
+  const TimePoint start{ 100s };
+  flow::FlowBalancer balancer = MakeBalancer(start);
+  flow::Heartbeat heartbeat;
+  heartbeat.mSelf = { 7, 1, 1, "a", true };
+  heartbeat.mConfirmed = 5;
+  uint64_t lastSequence = 0;
+  uint16_t port = 0;
+  const auto run = [&](TimePoint aStart) {
+    size_t reports = 0;
+    for (int i = 0; i < 300; ++i) {
+      const TimePoint now = aStart + i * 1ms;
+      ++heartbeat.mSelf.mHeartbeatCount;
+      auto actions = balancer.OnPeerMessage(now, 7, heartbeat);
+      flow::Packet packet;
+      packet.mHasSyn = true;
+      packet.mKey = { { 500, ++port }, { 9, 80 } };
+      for (auto more :
+           { balancer.OnTimer(now), balancer.OnPacket(now, packet) }) {
+        actions.insert(actions.end(), more.begin(), more.end());
+      }
+      for (const flow::FlowAction& it : actions) {
+        const auto* report = FindReport(it);
+        if (report != nullptr) {
+          ++reports;
+          CHECK(report->mSequence > lastSequence);
+          lastSequence = report->mSequence;
+        }
+      }
+    }
+    return reports;
+  };
+  CHECK(run(start + 1s) > 0);
+  const TimePoint resumed = start + 1300ms + flow::FlowBalancer::kMinPause;
+  balancer.OnPause(resumed, flow::FlowBalancer::kMinPause);
+  CHECK(run(resumed) > 0);
+}
