A report that names an upstream twice without flows does no harm

Test: "Entries without flows and repeated entries in a report do no harm"; on the code before, the program ended in it without a result.

--- a/src/flow/SlotBroker.cpp
+++ b/src/flow/SlotBroker.cpp
@@ -286,7 +286,12 @@
 {
   const auto remove = [&](Cookie aUpstream, uint64_t aCount) {
     const auto it = aState.mLoads.find(aUpstream);
-    assert(it != aState.mLoads.end() && it->second >= aCount);
+    // A malformed report may have entries without flows.
+    if (it == aState.mLoads.end()) {
+      assert(aCount == 0);
+      return;
+    }
+    assert(it->second >= aCount);
     it->second -= aCount;
     if (it->second == 0) {
       aState.mLoads.erase(it);
--- a/tests/unit/SlotBrokerTest.cpp
+++ b/tests/unit/SlotBrokerTest.cpp
@@ -513,3 +513,33 @@
     CHECK(count == limit);
   }
 }
+
+TEST_CASE("Entries without flows and repeated entries in a report do no harm",
+          "[flow][broker][badinput]")
+{
+  const Directory directory = MakeDirectory(2, 2);
+  const Cookie upstream = CookieOf(1);
+  SlotBroker broker(1);
+  TestBalancer balancer(kNear, "near");
+  uint64_t lastId = 0;
+  const std::vector<std::vector<SlotCount>> helds = {
+    { { upstream, 0 }, { upstream, 0 }, { upstream, 0 } },
+    { { upstream, 2 }, { upstream, 0 }, { upstream, 1 } },
+    { { upstream, UINT32_MAX }, { upstream, UINT32_MAX }, { upstream, 2 } },
+    {},
+  };
+  for (const std::vector<SlotCount>& it : helds) {
+    SlotReport& report = balancer.NextReport();
+    report.mHeld = it;
+    broker.HandleReport(kStart, balancer.Ip(), report, "s", directory, 0);
+  }
+  const auto limit = static_cast<size_t>(2 * SlotBroker::kFlowsPerSlot);
+  SlotReport& report = balancer.NextReport();
+  for (size_t i = 0; i < 2 * limit + 1; ++i) {
+    report.mRequests.push_back(MakeRequest(++lastId));
+  }
+  CHECK(balancer
+          .ReceiveGrants(broker.HandleReport(
+            kStart, balancer.Ip(), report, "s", directory, 0))
+          .size() == 2 * limit);
+}
