The second stop signal is tested with two signals that come together

Cause: signals don't queue. Two SIGTERMs that a process has not handled yet count as one, so the section "a second signal ends it at once" got exit code 0.

The section now also stops the agent, sends both signals and lets it go on.

--- a/tests/contracts/AgentProcessTest.cpp
+++ b/tests/contracts/AgentProcessTest.cpp
@@ -358,11 +358,19 @@
   }
   SECTION("a second signal ends it at once")
   {
-    fleet.Agent(1).Signal(SIGTERM);
+    // A process that is stopped has handled neither of two signals when it goes
+    // on, and they count as one.
+    const bool arriveTogether = GENERATE(false, true);
+    if (arriveTogether) {
+      fleet.Agent(1).Signal(SIGSTOP);
+      fleet.Agent(1).Signal(SIGTERM);
+      fleet.Agent(1).Signal(SIGTERM);
+      fleet.Agent(1).Signal(SIGCONT);
+    } else {
+      fleet.Agent(1).Signal(SIGTERM);
+    }
     // The balancer still runs, so the agent keeps running for its drain time.
     CHECK(fleet.SendHeartbeat(1));
-    // Two signals that arrive before the process has handled the first one
-    // count as one, so the second is repeated.
     for (int i = 0; i < 100 && !fleet.Agent(1).HasEnded(); ++i) {
       fleet.Agent(1).Signal(SIGTERM);
       std::this_thread::sleep_for(20ms);
