A balancer that starts with an old replica waits for a newer one

Cause: a starting balancer placed flows at once by whatever replica a peer sent, also one that the publisher had confirmed long ago to a peer that was cut off since, so upstreams that had left were in use again after a restart.

Change: with a replica that was confirmed 3 s ago or longer, new flows wait until it is confirmed, 1 s at most, as after a pause.

--- a/include/foxtail/flow/FlowBalancer.h
+++ b/include/foxtail/flow/FlowBalancer.h
@@ -194,16 +194,21 @@
   // Time after a change of the possible brokers for which a broker may have
   // just taken over and awaits the reports of all balancers.
   static constexpr milliseconds kBrokerTakeoverTime{ 500 };
-  // A gap of this length between two timer calls is a pause of the process:
-  // frozen or suspended, or without processor time.
+  // A gap of this length between two iterations of the event loop is a pause of
+  // the process: frozen or suspended, or without processor time.
   static constexpr milliseconds kMinPause{ 1000 };
   // Opening packets and peer messages that are handled within this time after a
   // pause have waited during it. They are dropped: callers have repeated their
   // packets elsewhere or given up, and the ages in messages are wrong by now.
   static constexpr milliseconds kPauseBacklogTime{ 50 };
-  // After a pause new flows wait until the publisher has confirmed the replica
-  // to this balancer or to a peer, or for this time if neither is reachable.
-  static constexpr milliseconds kMaxPauseHold{ 1000 };
+  // A starting balancer does not place flows by a replica that the publisher
+  // confirmed longer ago than this. Changes must be in force within 3 s.
+  static constexpr milliseconds kMaxStartAge{ 3000 };
+  // After a pause, or with a replica that is too old at the start, new flows
+  // wait until the publisher has confirmed the replica to this balancer or to a
+  // peer, or for this time if neither is reachable. Callers repeat their
+  // opening packets for 1.4 s.
+  static constexpr milliseconds kMaxHold{ 1000 };
   // Interval of timer calls until the balancer can place flows.
   static constexpr milliseconds kStartupPollInterval{ 10 };
 
@@ -220,10 +225,10 @@
                            const std::string& aSource,
                            ReadOutcome aOutcome = ReadOutcome::Finished);
   FlowActions OnTimer(TimePoint aNow);
-  // Called when the process goes on after it stood still for aPause, which is
-  // kMinPause or longer, before anything else. What it knew of flows, slots and
-  // brokers is dropped, and new flows wait until the replica is confirmed.
-  FlowActions OnPause(TimePoint aNow, Duration aPause);
+  // Must be called first in each iteration of the event loop. After a pause of
+  // kMinPause or longer, what the balancer knew of flows, slots and brokers is
+  // dropped, and new flows wait until the replica is confirmed.
+  FlowActions OnIteration(TimePoint aNow);
   // Latest time for the next call of OnTimer.
   TimePoint NextDue(TimePoint aNow) const;
 
@@ -302,12 +307,14 @@
   void OnOpeningPacket(TimePoint aNow, const Packet& aPacket);
   // Whether the routes and the brokers are known.
   bool CanPlace(TimePoint aNow) const;
+  void ResumeAfter(TimePoint aNow, Duration aPause);
   // Whether packets that are handled now may have waited during a pause.
   bool IsInBacklog(TimePoint aNow) const
   {
     return mResumedAt && aNow - *mResumedAt < kPauseBacklogTime;
   }
-  // Whether the replica may be out of date because of a pause.
+  // Whether the replica may be out of date because of a pause, or because the
+  // peer that sent it at the start was cut off from the publisher.
   bool IsHolding(TimePoint aNow) const;
   void ResolveRoute(TimePoint aNow, PendingFlow& aPending);
   // Resolves the routes of the flows that arrived before flows could be placed.
@@ -386,6 +393,7 @@
   TimePoint mExpectedTimer;
 
   TimePoint mStarted;
+  std::optional<TimePoint> mLastIteration;
   // End of the last pause; empty if there was none.
   std::optional<TimePoint> mResumedAt;
   bool mIsReading = false;
--- a/src/flow/Fleet.cpp
+++ b/src/flow/Fleet.cpp
@@ -15,7 +15,8 @@
 // ranks are independent of the choice of brokers.
 constexpr uint64_t kReaderHashKey = 0x7EAD;
 
-// Processor share of a member that has not told its own.
+// Processor share of a member that has not told its own, in thousandths of a
+// core: that of a small VM.
 constexpr uint32_t kUnknownShare = 100;
 
 // Returns the rank of a member among the possible brokers of a service; the
--- a/src/flow/FlowBalancer.cpp
+++ b/src/flow/FlowBalancer.cpp
@@ -479,7 +479,18 @@
 }
 
 FlowActions
-FlowBalancer::OnPause(TimePoint aNow, Duration aPause)
+FlowBalancer::OnIteration(TimePoint aNow)
+{
+  const Duration gap = aNow - mLastIteration.value_or(aNow);
+  mLastIteration = aNow;
+  if (gap >= kMinPause) {
+    ResumeAfter(aNow, gap);
+  }
+  return TakeActions();
+}
+
+void
+FlowBalancer::ResumeAfter(TimePoint aNow, Duration aPause)
 {
   Log(1105,
       absl::StrCat("paused_ms=",
@@ -512,16 +523,19 @@
   mHasRoutedDeferred = false;
   mNextRead = aNow;
   StartReadIfDue(aNow);
-  return TakeActions();
 }
 
 bool
 FlowBalancer::IsHolding(TimePoint aNow) const
 {
+  const bool isOldAtStart = aNow - mStarted < kMaxHold &&
+                            aNow - mDirectory.ConfirmedAt() >= kMaxStartAge;
   // A confirmation that is less than kMinPause older than the end of the pause
   // was received after it.
-  return mResumedAt && aNow - *mResumedAt < kMaxPauseHold &&
-         mDirectory.ConfirmedAt() <= *mResumedAt - kMinPause;
+  const bool isOldAfterPause =
+    mResumedAt && aNow - *mResumedAt < kMaxHold &&
+    mDirectory.ConfirmedAt() <= *mResumedAt - kMinPause;
+  return isOldAtStart || isOldAfterPause;
 }
 
 TimePoint
--- a/tests/FlowWorld.cpp
+++ b/tests/FlowWorld.cpp
@@ -136,6 +136,7 @@
     auto* balancer =
       std::get_if<std::unique_ptr<flow::FlowBalancer>>(&mNodes[i].mBalancer);
     if (mNodes[i].mIsAlive && !mNodes[i].mPausedAt && balancer != nullptr) {
+      ExecuteActions(i, (*balancer)->OnIteration(mNow));
       ExecuteActions(i, (*balancer)->OnTimer(mNow));
     }
   }
@@ -219,11 +220,10 @@
 FlowWorld::ResumeBalancer(size_t aIndex)
 {
   Node& node = mNodes[aIndex];
-  const Duration pause = mNow - *node.mPausedAt;
   node.mPausedAt.reset();
   auto& balancer =
     std::get<std::unique_ptr<flow::FlowBalancer>>(node.mBalancer);
-  ExecuteActions(aIndex, balancer->OnPause(mNow, pause));
+  ExecuteActions(aIndex, balancer->OnIteration(mNow));
   for (const auto& it : std::exchange(node.mHeldBack, {})) {
     it();
   }
--- a/tests/contracts/FlowFleetTest.cpp
+++ b/tests/contracts/FlowFleetTest.cpp
@@ -108,9 +108,10 @@
     false },
 };
 
-// A balancer of one service with one upstream and one slot.
+// A balancer of one service with one upstream and one slot. A peer sent its
+// replica, which the publisher confirmed aAge ago.
 flow::FlowBalancer
-MakeBalancer(TimePoint aStart)
+MakeBalancer(TimePoint aStart, milliseconds aAge = 0ms)
 {
   flow::FlowBalancerSettings settings;
   settings.mSelf = { 1, 1, 0, "a", false };
@@ -118,6 +119,7 @@
   flow::ReplicaUpdate update;
   update.mIsFullListing = true;
   update.mConfirmed = 5;
+  update.mAge = aAge;
   flow::Configuration configuration;
   configuration.mRoutes = {
     { "r", { 9, 80 }, { { "s", 1 } }, true, 1s, 250ms, 1 }
@@ -440,7 +442,10 @@
     for (int i = 0; i < 300; ++i) {
       const TimePoint now = aStart + i * 1ms;
       ++heartbeat.mSelf.mHeartbeatCount;
-      auto actions = balancer.OnPeerMessage(now, 7, heartbeat);
+      auto actions = balancer.OnIteration(now);
+      for (auto& it : balancer.OnPeerMessage(now, 7, heartbeat)) {
+        actions.push_back(std::move(it));
+      }
       flow::Packet packet;
       packet.mHasSyn = true;
       packet.mKey = { { 500, ++port }, { 9, 80 } };
@@ -461,6 +466,52 @@
   };
   CHECK(run(start + 1s) > 0);
   const TimePoint resumed = start + 1300ms + flow::FlowBalancer::kMinPause;
-  balancer.OnPause(resumed, flow::FlowBalancer::kMinPause);
   CHECK(run(resumed) > 0);
 }
+
+// The peer may have been cut off from the publisher; upstreams may have left
+// since.
+TEST_CASE("A balancer that starts with an old replica waits for a newer one",
+          "[flow][fleet]")
+{
+  struct Case
+  {
+    const char* mName;
+    milliseconds mAge;
+    bool mIsConfirmed;
+    milliseconds mPlacesAfter;
+  };
+  const auto it = GENERATE(values<Case>({
+    { "a recent one", 500ms, false, 0ms },
+    { "an old one, then the publisher answers", 10s, true, 200ms },
+    { "an old one, and the publisher is down", 10s, false, 1000ms },
+  }));
+  INFO(it.mName);
+  const TimePoint start{ 100s };
+  flow::FlowBalancer balancer = MakeBalancer(start, it.mAge);
+  std::optional<milliseconds> placedAfter;
+  for (milliseconds elapsed = 100ms; elapsed < 1500ms; elapsed += 1ms) {
+    const TimePoint now = start + elapsed;
+    flow::FlowActions actions = balancer.OnIteration(now);
+    if (it.mIsConfirmed && elapsed == 200ms) {
+      flow::ReplicaUpdate update;
+      update.mConfirmed = 6;
+      balancer.OnReadResult(now, update, "store");
+    }
+    flow::Packet packet;
+    packet.mHasSyn = true;
+    packet.mKey = { { 500, static_cast<uint16_t>(elapsed.count()) },
+                    { 9, 80 } };
+    for (auto more :
+         { balancer.OnTimer(now), balancer.OnPacket(now, packet) }) {
+      actions.insert(actions.end(), more.begin(), more.end());
+    }
+    for (const flow::FlowAction& action : actions) {
+      const bool isPlaced = std::holds_alternative<flow::ForwardPacket>(action);
+      placedAfter = isPlaced && !placedAfter ? elapsed : placedAfter;
+    }
+  }
+  REQUIRE(placedAfter);
+  CHECK(*placedAfter >= it.mPlacesAfter);
+  CHECK(*placedAfter <= it.mPlacesAfter + 300ms);
+}
