--- a/src/flow/Conversions.h
+++ b/src/flow/Conversions.h
@@ -5,6 +5,9 @@
 #include <cstdint>
 #include <string>
 
+#include "absl/strings/str_cat.h"
+
+#include "foxtail/core/FlowKey.h"
 #include "foxtail/core/Hash.h"
 #include "foxtail/core/Time.h"
 
@@ -25,6 +28,16 @@
   return static_cast<uint32_t>(StableHash(aName));
 }
 
+// Describes a flow in events.
+inline std::string
+DescribeFlow(const FlowKey& aKey)
+{
+  return absl::StrCat("caller=",
+                      aKey.mCaller.ToString(),
+                      " service_address=",
+                      aKey.mService.ToString());
+}
+
 } // namespace foxtail::flow
 
 #endif
