--- a/src/flow/Conversions.h
+++ b/src/flow/Conversions.h
@@ -10,8 +10,9 @@
 #include "foxtail/core/FlowKey.h"
 #include "foxtail/core/Hash.h"
 #include "foxtail/core/Time.h"
+#include "foxtail/flow/Records.h"
 
-// Conversions shared by the source files of FlowBalancer.
+// Conversions shared by the source files of FlowBalancer and SlotBroker.
 namespace foxtail::flow {
 
 inline milliseconds
@@ -38,6 +39,13 @@
                       aKey.mService.ToString());
 }
 
+// Identifies an upstream as seen from the balancers of one failure domain.
+inline uint64_t
+BackoffKey(uint32_t aDomainId, Cookie aUpstream)
+{
+  return (static_cast<uint64_t>(aDomainId) << 32U) | aUpstream;
+}
+
 } // namespace foxtail::flow
 
 #endif
--- a/src/flow/SlotBroker.cpp
+++ b/src/flow/SlotBroker.cpp
@@ -1,12 +1,11 @@
 #include "foxtail/flow/SlotBroker.h"
 
 #include <algorithm>
-#include <cassert>
-#include <cmath>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
 
+#include "flow/Conversions.h"
 #include "foxtail/core/Hash.h"
 
 namespace foxtail::flow {
@@ -16,20 +15,6 @@
 // An answer time counts at most as this multiple of the service's mean, so that
 // a single long answer doesn't mark its upstream as slow.
 constexpr double kMaxAnswerTimeFactor = 4.0;
-// Bounds of an upstream's answer time relative to that of its service.
-constexpr double kMinSlowness = 0.8;
-constexpr double kMaxSlowness = 6.0;
-// Processing takes about this factor longer on an upstream that is warming up.
-constexpr double kWarmUpSlowness = 1.6;
-// Penalties are added to the score by which ChooseUpstream compares upstreams;
-// they are in flows per slot, and the lowest score wins.
-//
-// Penalty of an upstream in another failure domain. It weighs less than one
-// flow at an upstream with fewer than 20 slots.
-constexpr double kOtherDomainPenalty = 0.05;
-// Penalty of a suspected upstream for a flow whose request must not be
-// repeated.
-constexpr double kSuspicionPenalty = 1.0;
 
 // Whether an answer that takes aAnswerMs from now on comes within the
 // objective.
@@ -44,22 +29,6 @@
   return aNow + answerTime <= aFirstTriedAt + aObjective;
 }
 
-// Returns a pseudo-random number in [0, 0.01) to choose among upstreams of the
-// same score.
-double
-TieBreak(uint64_t aRandom, Cookie aUpstream)
-{
-  constexpr uint64_t kOdd = 0x9E3779B97F4A7C15;
-  constexpr double kScale = 0.01 / (1U << 24U);
-  return static_cast<double>(((aRandom ^ aUpstream) * kOdd) >> 40U) * kScale;
-}
-
-uint64_t
-BackoffKey(uint32_t aDomainId, Cookie aUpstream)
-{
-  return (static_cast<uint64_t>(aDomainId) << 32U) | aUpstream;
-}
-
 } // namespace
 
 SlotBroker::SlotBroker(uint64_t aSeed)
@@ -270,98 +239,6 @@
   return aFlow.mArrivedAt;
 }
 
-void
-SlotBroker::CountFlows(ServiceState& aState, const Reporter& aReporter)
-{
-  for (const SlotCount& it : aReporter.mHeld) {
-    aState.mLoads[it.mUpstream] += it.mCount;
-  }
-  for (const UnconfirmedGrant& it : aReporter.mUnconfirmedGrants) {
-    ++aState.mLoads[it.mGrant.mUpstream];
-  }
-}
-
-void
-SlotBroker::UncountFlows(ServiceState& aState, const Reporter& aReporter)
-{
-  const auto remove = [&](Cookie aUpstream, uint64_t aCount) {
-    const auto it = aState.mLoads.find(aUpstream);
-    // A malformed report may have entries without flows.
-    if (it == aState.mLoads.end()) {
-      assert(aCount == 0);
-      return;
-    }
-    assert(it->second >= aCount);
-    it->second -= aCount;
-    if (it->second == 0) {
-      aState.mLoads.erase(it);
-    }
-  };
-  for (const SlotCount& it : aReporter.mHeld) {
-    remove(it.mUpstream, it.mCount);
-  }
-  for (const UnconfirmedGrant& it : aReporter.mUnconfirmedGrants) {
-    remove(it.mGrant.mUpstream, 1);
-  }
-}
-
-SlotBroker::Candidate
-SlotBroker::MakeCandidate(TimePoint aNow,
-                          const ServiceState& aState,
-                          const Upstream& aUpstream) const
-{
-  Candidate candidate;
-  candidate.mUpstream = aUpstream.mCookie;
-  candidate.mDomainId =
-    static_cast<uint32_t>(StableHash(aUpstream.mRecord.mDomain));
-  candidate.mSlots = std::max(1U, aUpstream.mRecord.mSlots);
-  candidate.mStatus = aState.mOutlierDetector.StatusOf(aNow, aUpstream.mCookie);
-  const auto answer = aState.mUpstreamAnswerMs.find(aUpstream.mCookie);
-  if (answer != aState.mUpstreamAnswerMs.end() && aState.mServiceAnswerMs > 0) {
-    candidate.mSlowness = std::clamp(
-      answer->second / aState.mServiceAnswerMs, kMinSlowness, kMaxSlowness);
-  }
-  if (aUpstream.mWarmUpUntil > aNow) {
-    candidate.mSlowness = std::max(candidate.mSlowness, kWarmUpSlowness);
-  }
-  candidate.mFlowLimit =
-    std::max(1.0,
-             std::floor(candidate.mSlots * kFlowsPerSlot /
-                        std::max(1.0, candidate.mSlowness)));
-  if (mIsIsolated) {
-    candidate.mFlowLimit = kIsolatedFlowLimit;
-  }
-  return candidate;
-}
-
-void
-SlotBroker::UpdateCandidates(TimePoint aNow,
-                             ServiceState& aState,
-                             const Directory& aDirectory) const
-{
-  auto& candidates = aState.mCandidates;
-  const bool isCurrent =
-    aState.mCandidatesSource == &aDirectory &&
-    aState.mCandidatesChangeCount == aDirectory.ChangeCount() &&
-    aNow - aState.mCandidatesMadeAt < kCandidatesLifetime;
-  if (!isCurrent) {
-    aState.mCandidatesMadeAt = aNow;
-    aState.mCandidatesSource = &aDirectory;
-    aState.mCandidatesChangeCount = aDirectory.ChangeCount();
-    candidates.clear();
-    for (const Cookie it : aDirectory.UpstreamsOf(aState.mName)) {
-      const Upstream* upstream = aDirectory.FindUpstream(it);
-      if (Directory::TakesNewFlows(*upstream, aNow)) {
-        candidates.push_back(MakeCandidate(aNow, aState, *upstream));
-      }
-    }
-  }
-  for (Candidate& it : candidates) {
-    const auto load = aState.mLoads.find(it.mUpstream);
-    it.mLoad = load == aState.mLoads.end() ? 0 : load->second;
-  }
-}
-
 void
 SlotBroker::GrantQueuedFlows(TimePoint aNow,
                              ServiceState& aState,
@@ -462,86 +339,6 @@
               queue.end());
 }
 
-bool
-SlotBroker::IsAvoided(const Candidate& aCandidate, const QueuedFlow& aFlow)
-{
-  const auto& excluded = aFlow.mRequest.mExcluded;
-  if (std::find(excluded.begin(), excluded.end(), aCandidate.mUpstream) !=
-      excluded.end()) {
-    return true;
-  }
-  switch (aCandidate.mStatus) {
-    case AnswerOutlierDetector::Status::Ejected:
-      return true;
-    case AnswerOutlierDetector::Status::Probation:
-      // Gets one flow at a time, and only flows whose request may be repeated.
-      return aCandidate.mLoad > 0 || !aFlow.mRequest.mIsIdempotent;
-    case AnswerOutlierDetector::Status::Suspected:
-    case AnswerOutlierDetector::Status::Healthy:
-      break;
-  }
-  return false;
-}
-
-SlotBroker::Candidate*
-SlotBroker::ChooseUpstream(TimePoint aNow,
-                           ServiceState& aState,
-                           const QueuedFlow& aFlow)
-{
-  const Reporter& reporter = aState.mReporters[aFlow.mFrom];
-  const bool hasBackoffs = !aState.mBackoffs.empty();
-  Candidate* best = nullptr;
-  double bestScore = 0;
-  bool bestIsLastResort = true;
-  const uint64_t tieBreak = mRandom();
-  for (Candidate& it : aState.mCandidates) {
-    const auto backoff =
-      hasBackoffs
-        ? aState.mBackoffs.find(BackoffKey(reporter.mDomainId, it.mUpstream))
-        : aState.mBackoffs.end();
-    const bool hasBackoff = backoff != aState.mBackoffs.end();
-    // After its backoff, an upstream gets one flow at a time until it answers.
-    const bool isLastResort =
-      IsAvoided(it, aFlow) ||
-      (hasBackoff && (backoff->second.mUntil > aNow || it.mLoad > 0));
-    double score =
-      static_cast<double>(it.mLoad + 1) / it.mSlots * it.mSlowness +
-      TieBreak(tieBreak, it.mUpstream);
-    if (it.mDomainId != reporter.mDomainId) {
-      score += kOtherDomainPenalty;
-    }
-    const bool isRisky =
-      it.mStatus == AnswerOutlierDetector::Status::Suspected &&
-      !aFlow.mRequest.mIsIdempotent;
-    if (isRisky) {
-      score += kSuspicionPenalty;
-    }
-    const bool isBetter =
-      best == nullptr || isLastResort < bestIsLastResort ||
-      (isLastResort == bestIsLastResort && score < bestScore);
-    if (static_cast<double>(it.mLoad) < it.mFlowLimit && isBetter) {
-      best = &it;
-      bestScore = score;
-      bestIsLastResort = isLastResort;
-    }
-  }
-  // While there are upstreams that answer normally but are at their limits, a
-  // flow waits rather than go to an upstream that is silent or fails. After an
-  // unanswered opening packet, an upstream isn't normal until its next answer.
-  const bool hasNormalUpstream =
-    std::any_of(aState.mCandidates.begin(),
-                aState.mCandidates.end(),
-                [&](const Candidate& it) {
-                  return !IsAvoided(it, aFlow) &&
-                         aState.mBackoffs.count(
-                           BackoffKey(reporter.mDomainId, it.mUpstream)) == 0;
-                });
-  if (best != nullptr && bestIsLastResort && hasNormalUpstream) {
-    return nullptr;
-  }
-  return best;
-}
-
 void
 SlotBroker::AddGrant(TimePoint aNow,
                      ServiceState& aState,
