--- a/review/standins/Main.cc
+++ b/review/standins/Main.cc
@@ -249,6 +249,54 @@
   aWorld.RunUntil(end + 4500);
 }
 
+// Endpoints that are alive lose their path to the store, so the store removes
+// their entries. Meanwhile single processes of the system are killed.
+void
+PlayUnlisted(World& aWorld, Operator& aOperator)
+{
+  constexpr size_t kRounds = 8;
+  constexpr int64_t kRoundMs = 11500;
+  constexpr int64_t kCutMs = 8500;
+  constexpr size_t kCut = 3;
+  constexpr size_t kLedger = 14;
+  CheckDrain(aWorld);
+  const int64_t begin = NowMs();
+  const int64_t end = begin + kRounds * kRoundMs;
+  Traffic(aWorld, aOperator, 150, end);
+  const bool cuts = aWorld.mOptions.mTrouble;
+  const bool kills = aWorld.mOptions.mTrouble && getenv("NO_KILLS") == nullptr;
+  for (size_t round = 0; round < kRounds; ++round) {
+    const int64_t cut = begin + static_cast<int64_t>(round) * kRoundMs + 1000;
+    for (size_t k = 0; cuts && k < kCut; ++k) {
+      const size_t n = (round * kCut + k) % kLedger;
+      aWorld.At(cut, [&aWorld, n] {
+        Endpoint& it = aWorld.mEndpoints[n];
+        it.mReachesStore = false;
+        aWorld.Log().Line("endpoint " + it.mId +
+                          " loses its path to the store");
+      });
+      aWorld.At(cut + kCutMs, [&aWorld, n] {
+        Endpoint& it = aWorld.mEndpoints[n];
+        it.mReachesStore = true;
+        aWorld.Log().Line("endpoint " + it.mId + " reaches the store again");
+      });
+    }
+    for (size_t k = 0; kills && k < 2; ++k) {
+      // Machines that are listed as seeds: the first ones of the zones.
+      aWorld.At(
+        cut + 1900 + 300 * static_cast<int64_t>(k), [&aWorld, round, k] {
+          const std::string zone = kZones[(round + k) % kZones.size()].first;
+          for (Machine& it : aWorld.mMachines) {
+            if (it.mName == "front-" + zone + "-1") {
+              aWorld.StopMachine(it, SIGKILL);
+            }
+          }
+        });
+    }
+  }
+  aWorld.RunUntil(end + 1500);
+}
+
 // Endpoints are replaced one after the other. The ids of the new ones are
 // chosen.
 void
@@ -302,6 +350,8 @@
   world.RunUntil(NowMs() + World::kStableWindowMs + 500);
   if (aOptions.mScenario == "storm") {
     PlayStorm(world, admin);
+  } else if (aOptions.mScenario == "unlisted") {
+    PlayUnlisted(world, admin);
   } else if (aOptions.mScenario == "collision") {
     PlayCollision(world, admin);
   } else {
