--- a/review/standins/Main.cc
+++ b/review/standins/Main.cc
@@ -29,9 +29,9 @@
   explicit Operator(World& aWorld)
     : mWorld(aWorld)
   {
-    Add("lookup", 0xC6120001, 8443, "safe", "ledger");
-    Add("post", 0xC6120001, 8080, "unsafe", "ledger");
-    Add("statement", 0xC6120002, 443, "download", "statements");
+    Add("lookup", aWorld.Ip(40, 1), 8443, "safe", "ledger");
+    Add("post", aWorld.Ip(40, 1), 8080, "unsafe", "ledger");
+    Add("statement", aWorld.Ip(40, 2), 443, "download", "statements");
     AddIdle(110);
   }
   void Add(const std::string& aName,
@@ -48,7 +48,7 @@
     for (int i = 0; i < aCount; ++i) {
       const int n = ++mIdle;
       Add("idle" + std::to_string(n),
-          0xC6130000U + static_cast<uint32_t>(n / 200),
+          mWorld.Ip(50, 1 + n / 200),
           static_cast<uint16_t>(2000 + n % 200),
           "safe",
           "ledger");
@@ -202,8 +202,8 @@
   }
   // The change after the storm adds a route and drops one.
   int64_t inForce = 0;
-  const IpPort added{ 0xC6120003, 8443 };
-  const IpPort dropped{ 0xC6120004, 8443 };
+  const IpPort added{ aWorld.Ip(40, 3), 8443 };
+  const IpPort dropped{ aWorld.Ip(40, 4), 8443 };
   aOperator.Add("old", dropped.mIp, dropped.mPort, "safe", "ledger");
   aWorld.At(storm + kChanges * kGapMs, [&] {
     aOperator.Add("new", added.mIp, added.mPort, "safe", "ledger");
