--- a/review/standins/Main.cc
+++ b/review/standins/Main.cc
@@ -256,7 +256,7 @@
 {
   constexpr size_t kRounds = 8;
   constexpr int64_t kRoundMs = 11500;
-  constexpr int64_t kCutMs = 8500;
+  constexpr int64_t kCutMs = 9500;
   constexpr size_t kCut = 3;
   constexpr size_t kLedger = 14;
   CheckDrain(aWorld);
@@ -284,7 +284,7 @@
     for (size_t k = 0; kills && k < 2; ++k) {
       // Machines that are listed as seeds: the first ones of the zones.
       aWorld.At(
-        cut + 1900 + 300 * static_cast<int64_t>(k), [&aWorld, round, k] {
+        cut + 3000 + 400 * static_cast<int64_t>(k), [&aWorld, round, k] {
           const std::string zone = kZones[(round + k) % kZones.size()].first;
           for (Machine& it : aWorld.mMachines) {
             if (it.mName == "front-" + zone + "-1") {
--- a/review/standins/World.cc
+++ b/review/standins/World.cc
@@ -296,7 +296,7 @@
       << "], \"seeds\": [" << seeds
       << "], \"bootstrap\": true, \"limits\": {\"cpu_share\": 0.25, \"cores\": "
          "1, \"memory_mb\": 260, \"max_fds\": 4100, \"link_mbps\": 1000.0, "
-         "\"disk_mb\": 0}, \"data_dir\": null, \"heartbeat_ms\": 770, "
+         "\"disk_mb\": 0}, \"data_dir\": null, \"heartbeat_ms\": 1200, "
          "\"fault_tolerance\": {\"machines\": 2, \"zones\": 1, \"regions\": "
          "0}, \"bounds\": {\"seed_lag_s\": 3, \"reuse_after_s\": 2, "
          "\"stable_window_ms\": 4000, \"ack_ms\": 5000, \"catch_up_s\": 4, "
--- a/review/standins/World.hpp
+++ b/review/standins/World.hpp
@@ -213,7 +213,7 @@
   static constexpr int64_t kStableWindowMs = 4000;
   static constexpr int64_t kDrainMs = 3000;
   static constexpr int64_t kConfigMs = 3000;
-  static constexpr int64_t kHeartbeatMs = 770;
+  static constexpr int64_t kHeartbeatMs = 1200;
   static constexpr int64_t kGraceMs = 6000;
 
   Options mOptions;
