--- /dev/null
+++ b/review/standins-2/Main.cpp
@@ -0,0 +1,202 @@
+// Runs one case of the review: starts the deployment, causes the disruption and
+// checks the rule. Exit codes: 0 the rule held, 1 it was broken, 2 the case
+// could not run.
+
+#include <cstring>
+#include <iostream>
+
+#include "World.h"
+
+namespace {
+
+// The scenario is to be started again with other addresses.
+constexpr int kOtherAddresses = -1;
+constexpr int kMaxStarts = 12;
+
+// Nothing gets out of the first zone for a while; what goes in still arrives.
+// Just after the start of the cut, the configuration gets a route and an
+// endpoint of the zone begins to drain.
+int
+RunOneWay(World& w)
+{
+  // Length of the cut and bounds as on the site whose page names it.
+  constexpr double kCutMs = 5500;
+  constexpr double kDrainMs = 5000;
+  constexpr double kConfigApplyMs = 5000;
+  constexpr double kStableWindowMs = 5000;
+  constexpr uint32_t kNewRoute = 3;
+  w.mFleetSettings.drainMs = static_cast<int>(kDrainMs);
+  w.mFleetSettings.configApplyMs = static_cast<int>(kConfigApplyMs);
+  w.mFleetSettings.stableWindowMs = static_cast<int>(kStableWindowMs);
+  w.Start(/*proxiesFirstZone=*/true);
+  w.WaitUntilReady();
+  w.mLoop.RunUntil(NowMs() + 1000);
+  std::vector<uint64_t> atStart;
+  for (const Node& it : w.mFleet->Nodes()) {
+    atStart.push_back(w.mStore.CallCount(it.index));
+  }
+  w.mLoop.RunUntil(NowMs() + 1500);
+  for (const Node& it : w.mFleet->Nodes()) {
+    // One daemon reads the store for all, which one depends on the addresses.
+    // The zone that is cut off must not be its zone.
+    if (it.zone == w.kZones[0] && w.mStore.CallCount(it.index) > atStart[it.index]) {
+      w.Log("%s in the zone to be cut reads the store for all: once more with "
+            "other addresses", it.name.c_str());
+      return kOtherAddresses;
+    }
+  }
+  w.StartTraffic(40);
+  // All is calm for longer than stable_window_ms.
+  w.mLoop.RunUntil(NowMs() + kStableWindowMs + 2000);
+  bool isCut = false;
+  // Packets of the zone's daemons don't reach the endpoints of other zones.
+  for (const auto& it : w.mUpstreams) {
+    const bool isInside = it->Settings().zone == w.kZones[0];
+    it->mIsCut = [&w, &isCut, isInside](uint32_t from) {
+      const Node* node = w.NodeAt(from);
+      return isCut && !isInside && node != nullptr && node->zone == w.kZones[0];
+    };
+  }
+  const double cutAt = NowMs();
+  if (w.mOptions.hasTrouble) {
+    isCut = true;
+    w.mProxy->SetCut(true);
+    w.Log("disruption: nothing gets out of %s to the other zones for %.0f ms; "
+          "the store, the clients and the other direction are reachable",
+          w.kZones[0].c_str(), kCutMs);
+  }
+  w.mLoop.RunUntil(cutAt + 30);
+  w.WriteConfiguration(
+    5, { { 1, "ledger" }, { 2, "statements" }, { kNewRoute, "statements" } });
+  Upstream& drained = *w.mUpstreams.front();
+  drained.Drain();
+  const double acknowledgedAt = NowMs();
+  w.Log("store: endpoint %s is draining", drained.Settings().id.c_str());
+  std::vector<uint64_t> calls;
+  for (const Node& it : w.mFleet->Nodes()) {
+    calls.push_back(w.mStore.CallCount(it.index));
+  }
+  // Requests of the new route, sent to each daemon of the zone in turn later
+  // than config_apply_ms after the acknowledgement.
+  uint64_t refused = 0;
+  uint64_t served = 0;
+  uint64_t unanswered = 0;
+  const double firstProbeAt = acknowledgedAt + kConfigApplyMs + 20;
+  const double lastProbeAt = cutAt + kCutMs - 50;
+  int n = 0;
+  for (double at = firstProbeAt; at < lastProbeAt; at += 30, ++n) {
+    const Node& node = w.mFleet->Nodes()[n % w.kMachines[0]];
+    w.mLoop.At(at, [&, n] {
+      w.mCallers[0]->Ask(
+        w.Route(kNewRoute),
+        "new-route-" + std::to_string(n),
+        [&node](const Addr&) { return node.ingress; },
+        [&, n](const Caller::Result& r) {
+          w.Log("request new-route-%d, sent %.0f ms after the acknowledgement "
+                "through %s: %s", n, r.sentMs - acknowledgedAt,
+                node.name.c_str(), Caller::Name(r.end));
+          refused += r.end == Caller::End::ResetBySystem ? 1 : 0;
+          served += r.end == Caller::End::Answered ? 1 : 0;
+          unanswered += r.end == Caller::End::NotOpened ||
+                            r.end == Caller::End::NoAnswer
+                          ? 1
+                          : 0;
+        });
+    });
+  }
+  w.mLoop.RunUntil(cutAt + kCutMs);
+  const double healedAt = NowMs();
+  for (const Node& it : w.mFleet->Nodes()) {
+    w.Log("%s called the store %lu times since the acknowledgement",
+          it.name.c_str(),
+          static_cast<unsigned long>(w.mStore.CallCount(it.index) -
+                                     calls[it.index]));
+  }
+  isCut = false;
+  w.mProxy->SetCut(false);
+  w.Log("end of the disruption");
+  w.mLoop.RunUntil(NowMs() + 3000);
+  w.mHasTraffic = false;
+  w.mLoop.RunUntil(NowMs() + 2000);
+  w.LogEnds();
+  uint64_t late = 0;
+  uint64_t lateInSmall = 0;
+  for (const Upstream::Opening& it : drained.mOpenings) {
+    const bool isLate = it.arrivedMs > acknowledgedAt + kDrainMs &&
+                        it.arrivedMs < healedAt;
+    lateInSmall += it.arrivedMs > acknowledgedAt + kSmallDrainMs &&
+                       it.arrivedMs < healedAt
+                     ? 1
+                     : 0;
+    if (isLate) {
+      ++late;
+      const Node* node = w.NodeAt(it.via);
+      w.Log("DRAIN: endpoint %s took a flow %.0f ms after its drain, through %s",
+            drained.Settings().id.c_str(), it.arrivedMs - acknowledgedAt,
+            node == nullptr ? "?" : node->name.c_str());
+    }
+  }
+  w.Log("CONFIG: requests of the new route: %lu refused, %lu not answered, "
+        "%lu served",
+        static_cast<unsigned long>(refused),
+        static_cast<unsigned long>(unanswered),
+        static_cast<unsigned long>(served));
+  w.Log("DRAIN: %lu flows opened later than %.0f ms after the drain, %lu later "
+        "than the %.0f ms of a small deployment",
+        static_cast<unsigned long>(late), kDrainMs,
+        static_cast<unsigned long>(lateInSmall), kSmallDrainMs);
+  return refused > 0 || late > 0 ? 1 : 0;
+}
+
+std::string
+Value(const char* argument, const char* name)
+{
+  const size_t n = strlen(name);
+  return strncmp(argument, name, n) == 0 ? argument + n : "";
+}
+
+} // namespace
+
+int
+main(int argc, char** argv)
+{
+  Options options;
+  for (int i = 1; i < argc; ++i) {
+    const std::string folder = Value(argv[i], "--folder=");
+    const std::string root = Value(argv[i], "--root=");
+    const std::string record = Value(argv[i], "--record=");
+    options.folder = folder.empty() ? options.folder : folder;
+    options.root = root.empty() ? options.root : root;
+    options.record = record.empty() ? options.record : record;
+    if (strncmp(argv[i], "--", 2) != 0) {
+      options.scenario = argv[i];
+    }
+  }
+  const char* trouble = getenv("TROUBLE");
+  options.hasTrouble = trouble == nullptr || strcmp(trouble, "0") != 0;
+  signal(SIGPIPE, SIG_IGN);
+  const std::map<std::string, int (*)(World&)> scenarios{
+    { "one-way", RunOneWay },
+  };
+  const auto scenario = scenarios.find(options.scenario);
+  if (scenario == scenarios.end()) {
+    std::cerr << "unknown case " << options.scenario << "\n";
+    return 2;
+  }
+  try {
+    for (int i = 0; i < kMaxStarts; ++i) {
+      World world(options);
+      const int code = scenario->second(world);
+      if (code != kOtherAddresses) {
+        world.Log("result: %s",
+                  code == 0 ? "the rule held" : "the rule was broken");
+        return code;
+      }
+    }
+    std::cerr << "no addresses found that fit the case\n";
+    return 2;
+  } catch (const CannotRun& e) {
+    std::cerr << e.what() << "\n";
+    return 2;
+  }
+}
--- /dev/null
+++ b/review/standins-2/Proxy.h
@@ -0,0 +1,138 @@
+#ifndef review2_Proxy_h
+#define review2_Proxy_h
+
+// Carries the daemons' own traffic between one zone and the others. The daemons
+// of the zone have other internal ports than the rest, so each side finds this
+// proxy at the addresses of the other side. It can drop all that goes out of
+// the zone while it carries all that goes in.
+
+#include <memory>
+#include <set>
+#include <utility>
+
+#include "Net.h"
+
+class ZoneProxy
+{
+public:
+  // Internal ports: the daemons use the first one for datagrams and the next
+  // one for their replicas.
+  ZoneProxy(Loop& loop,
+            std::vector<uint32_t> inside,
+            uint16_t insidePort,
+            std::vector<uint32_t> outside,
+            uint16_t outsidePort)
+    : mLoop(loop)
+    , mInsidePort(insidePort)
+    , mOutsidePort(outsidePort)
+  {
+    for (const uint32_t ip : outside) {
+      mFromInside[ip] = std::make_unique<Udp>(
+        loop, Addr{ ip, insidePort }, [this, ip](const Addr& from, const std::string& b) {
+          const auto it = mFromOutside.find(from.ip);
+          if (!mIsCut && it != mFromOutside.end()) {
+            it->second->Send({ ip, mOutsidePort }, b);
+          }
+        });
+      Listen({ ip, static_cast<uint16_t>(insidePort + 1) },
+             { ip, static_cast<uint16_t>(outsidePort + 1) });
+    }
+    for (const uint32_t ip : inside) {
+      mFromOutside[ip] = std::make_unique<Udp>(
+        loop, Addr{ ip, outsidePort }, [this, ip](const Addr& from, const std::string& b) {
+          const auto it = mFromInside.find(from.ip);
+          if (it != mFromInside.end()) {
+            it->second->Send({ ip, mInsidePort }, b);
+          }
+        });
+      Listen({ ip, static_cast<uint16_t>(outsidePort + 1) },
+             { ip, static_cast<uint16_t>(insidePort + 1) });
+    }
+  }
+
+  // While set, nothing gets out of the zone. A TCP connection needs packets
+  // both ways, so new ones don't come about and open ones stand still.
+  void SetCut(bool isCut)
+  {
+    mIsCut = isCut;
+    if (!isCut) {
+      for (const int fd : std::exchange(mHeld, {})) {
+        mLoop.Close(fd);
+      }
+      for (const auto& [fd, peer] : mPeers) {
+        mLoop.SetEvents(fd, POLLIN);
+      }
+    }
+  }
+
+private:
+  void Listen(const Addr& at, const Addr& target)
+  {
+    const int fd = Bind(SOCK_STREAM, at);
+    if (listen(fd, 128) != 0) {
+      throw CannotRun("cannot listen on " + at.Text());
+    }
+    mLoop.Add(fd, POLLIN, [this, fd, target](short) {
+      const int in = accept4(fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+      if (in < 0) {
+        return;
+      }
+      if (mIsCut) {
+        mHeld.insert(in);
+        mLoop.Add(in, 0, [this, in](short) {
+          mHeld.erase(in);
+          mLoop.Close(in);
+        });
+        return;
+      }
+      const int out = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+      const sockaddr_in a = ToSockaddr(target);
+      if (connect(out, reinterpret_cast<const sockaddr*>(&a), sizeof(a)) != 0) {
+        close(out);
+        close(in);
+        return;
+      }
+      fcntl(out, F_SETFL, O_NONBLOCK);
+      mPeers[in] = out;
+      mPeers[out] = in;
+      for (const int it : { in, out }) {
+        mLoop.Add(it, POLLIN, [this, it](short events) { Pump(it, events); });
+      }
+    });
+  }
+
+  void Pump(int from, short events)
+  {
+    if (mIsCut) {
+      mLoop.SetEvents(from, 0);
+      if ((events & (POLLERR | POLLHUP)) == 0) {
+        return;
+      }
+    }
+    char buffer[65536];
+    const ssize_t n = recv(from, buffer, sizeof(buffer), MSG_DONTWAIT);
+    if (n < 0 && (errno == EAGAIN || errno == EINTR)) {
+      return;
+    }
+    const int to = mPeers[from];
+    // Replicas of a small fleet fit into the socket's buffer.
+    if (n <= 0 || mIsCut || send(to, buffer, n, MSG_NOSIGNAL) != n) {
+      mPeers.erase(from);
+      mPeers.erase(to);
+      mLoop.Close(from);
+      mLoop.Close(to);
+    }
+  }
+
+  Loop& mLoop;
+  uint16_t mInsidePort;
+  uint16_t mOutsidePort;
+  bool mIsCut = false;
+  // By address of the daemon outside, and inside.
+  std::map<uint32_t, std::unique_ptr<Udp>> mFromInside;
+  std::map<uint32_t, std::unique_ptr<Udp>> mFromOutside;
+  std::map<int, int> mPeers;
+  std::set<int> mHeld;
+};
+
+#endif
