--- a/review/standins-2/Fleet.h
+++ b/review/standins-2/Fleet.h
@@ -81,6 +81,9 @@
   }
   std::vector<Node>& Nodes() { return mNodes; }
 
+  // Text that is added to the bounds in settings files that are written later.
+  void SetExtraBounds(const std::string& text) { mSettings.extraBounds = text; }
+
   // `store` is the address at which this node finds the store.
   void WriteSettings(const Node& n,
                      const Addr& store,
--- a/review/standins-2/Main.cpp
+++ b/review/standins-2/Main.cpp
@@ -13,8 +13,8 @@
 constexpr int kOtherAddresses = -1;
 constexpr int kMaxStarts = 12;
 
-// Nothing gets out of the first zone for a while; what goes in still arrives.
-// Just after the start of the cut, the configuration gets a route and an
+// Nothing gets out of the first zone for a while, and what goes in still
+// arrives; with DIRECTION=in it is the other way round. Just after the start of the cut, the configuration gets a route and an
 // endpoint of the zone begins to drain.
 int
 RunOneWay(World& w)
@@ -25,6 +25,8 @@
   constexpr double kConfigApplyMs = 5000;
   constexpr double kStableWindowMs = 5000;
   constexpr uint32_t kNewRoute = 3;
+  const char* direction = getenv("DIRECTION");
+  const bool isIn = direction != nullptr && strcmp(direction, "in") == 0;
   w.mFleetSettings.drainMs = static_cast<int>(kDrainMs);
   w.mFleetSettings.configApplyMs = static_cast<int>(kConfigApplyMs);
   w.mFleetSettings.stableWindowMs = static_cast<int>(kStableWindowMs);
@@ -36,12 +38,13 @@
     atStart.push_back(w.mStore.CallCount(it.index));
   }
   w.mLoop.RunUntil(NowMs() + 1500);
+  // One daemon reads the store for all, which one depends on the addresses. The
+  // daemons on the other side of the cut must not have it among them.
   for (const Node& it : w.mFleet->Nodes()) {
-    // One daemon reads the store for all, which one depends on the addresses.
-    // The zone that is cut off must not be its zone.
-    if (it.zone == w.kZones[0] && w.mStore.CallCount(it.index) > atStart[it.index]) {
-      w.Log("%s in the zone to be cut reads the store for all: once more with "
-            "other addresses", it.name.c_str());
+    const bool isAffected = (it.zone == w.kZones[0]) != isIn;
+    if (isAffected && w.mStore.CallCount(it.index) > atStart[it.index]) {
+      w.Log("%s reads the store for all: once more with other addresses",
+            it.name.c_str());
       return kOtherAddresses;
     }
   }
@@ -49,26 +52,29 @@
   // All is calm for longer than stable_window_ms.
   w.mLoop.RunUntil(NowMs() + kStableWindowMs + 2000);
   bool isCut = false;
-  // Packets of the zone's daemons don't reach the endpoints of other zones.
+  // The daemons' packets to the endpoints are cut off in the same direction.
   for (const auto& it : w.mUpstreams) {
     const bool isInside = it->Settings().zone == w.kZones[0];
-    it->mIsCut = [&w, &isCut, isInside](uint32_t from) {
+    it->mIsCut = [&w, &isCut, isInside, isIn](uint32_t from) {
       const Node* node = w.NodeAt(from);
-      return isCut && !isInside && node != nullptr && node->zone == w.kZones[0];
+      return isCut && node != nullptr && isInside == isIn &&
+             (node->zone == w.kZones[0]) != isIn;
     };
   }
   const double cutAt = NowMs();
   if (w.mOptions.hasTrouble) {
     isCut = true;
-    w.mProxy->SetCut(true);
-    w.Log("disruption: nothing gets out of %s to the other zones for %.0f ms; "
-          "the store, the clients and the other direction are reachable",
-          w.kZones[0].c_str(), kCutMs);
+    w.mProxy->SetCut(isIn ? ZoneProxy::Cut::In : ZoneProxy::Cut::Out);
+    w.Log("disruption: nothing gets %s %s %s the other zones for %.0f ms; the "
+          "store, the clients and the other direction are reachable",
+          isIn ? "into" : "out of", w.kZones[0].c_str(), isIn ? "from" : "to",
+          kCutMs);
   }
   w.mLoop.RunUntil(cutAt + 30);
   w.WriteConfiguration(
     5, { { 1, "ledger" }, { 2, "statements" }, { kNewRoute, "statements" } });
-  Upstream& drained = *w.mUpstreams.front();
+  // An endpoint of a zone whose daemons lack the change.
+  Upstream& drained = isIn ? *w.mUpstreams[7] : *w.mUpstreams.front();
   drained.Drain();
   const double acknowledgedAt = NowMs();
   w.Log("store: endpoint %s is draining", drained.Settings().id.c_str());
@@ -76,8 +82,14 @@
   for (const Node& it : w.mFleet->Nodes()) {
     calls.push_back(w.mStore.CallCount(it.index));
   }
-  // Requests of the new route, sent to each daemon of the zone in turn later
-  // than config_apply_ms after the acknowledgement.
+  // Requests of the new route, sent to each affected daemon in turn later than
+  // config_apply_ms after the acknowledgement.
+  std::vector<const Node*> affected;
+  for (const Node& it : w.mFleet->Nodes()) {
+    if ((it.zone == w.kZones[0]) != isIn) {
+      affected.push_back(&it);
+    }
+  }
   uint64_t refused = 0;
   uint64_t served = 0;
   uint64_t unanswered = 0;
@@ -85,7 +97,7 @@
   const double lastProbeAt = cutAt + kCutMs - 50;
   int n = 0;
   for (double at = firstProbeAt; at < lastProbeAt; at += 30, ++n) {
-    const Node& node = w.mFleet->Nodes()[n % w.kMachines[0]];
+    const Node& node = *affected[n % affected.size()];
     w.mLoop.At(at, [&, n] {
       w.mCallers[0]->Ask(
         w.Route(kNewRoute),
@@ -113,7 +125,7 @@
                                      calls[it.index]));
   }
   isCut = false;
-  w.mProxy->SetCut(false);
+  w.mProxy->SetCut(ZoneProxy::Cut::None);
   w.Log("end of the disruption");
   w.mLoop.RunUntil(NowMs() + 3000);
   w.mHasTraffic = false;
@@ -148,6 +160,101 @@
   return refused > 0 || late > 0 ? 1 : 0;
 }
 
+// The settings files change: they get keys of a matter that is not open on this
+// deployment, without a value. Then the machines are stopped and started in
+// turn.
+int
+RunEmptyKeys(World& w)
+{
+  constexpr double kGapMs = 2000;
+  // Share of the machines that get a SIGHUP.
+  constexpr double kSignalledShare = 0.6;
+  constexpr double kRestartDelayMs = 1000;
+  constexpr double kRecoveryMs = 12000;
+  // Ends by itself that make a machine count for the rule "Fault".
+  constexpr int kEndsOfMachine = 3;
+  w.Start(/*proxiesFirstZone=*/false);
+  w.WaitUntilReady();
+  w.StartTraffic(20);
+  w.mLoop.RunUntil(NowMs() + kSmallStableWindowMs + 1000);
+  w.LogEnds();
+  if (w.mOptions.hasTrouble) {
+    w.mFleet->SetExtraBounds(",\"cold_overage\":null,\"cold_slack\":null,"
+                             "\"evacuate_ms\":null");
+    w.Log("disruption: the settings files get the keys cold_overage, cold_slack "
+          "and evacuate_ms, which are empty");
+  }
+  auto& nodes = w.mFleet->Nodes();
+  for (Node& it : nodes) {
+    w.mFleet->WriteSettings(it, w.StoreOf(it), w.Seeds(), false);
+    if (it.index + 1 <= kSignalledShare * static_cast<double>(nodes.size())) {
+      Fleet::Signal(it, SIGHUP);
+      w.Log("SIGHUP to %s", it.name.c_str());
+    }
+  }
+  w.mLoop.RunUntil(NowMs() + 2000);
+  w.Log("planned work: roll_term, one machine each %.0f ms", kGapMs);
+  std::vector<int> failedStarts(nodes.size());
+  std::vector<bool> isRolled(nodes.size());
+  for (size_t i = 0; i < nodes.size(); ++i) {
+    w.mLoop.After(kGapMs * static_cast<double>(i), [&, i] {
+      isRolled[i] = true;
+      Fleet::Signal(nodes[i], SIGTERM);
+      w.Log("SIGTERM to %s", nodes[i].name.c_str());
+    });
+  }
+  // A process that ended is started again after a short delay.
+  std::vector<double> restartAt(nodes.size(), -1);
+  bool isWatching = true;
+  w.mLoop.Every(50, [&, isWatchingPtr = &isWatching] {
+    for (size_t i = 0; *isWatchingPtr && i < nodes.size(); ++i) {
+      if (nodes[i].pid != 0 || !isRolled[i]) {
+        continue;
+      }
+      if (restartAt[i] < 0) {
+        restartAt[i] = NowMs() + kRestartDelayMs;
+        const int status = nodes[i].status;
+        const bool isError = !WIFEXITED(status) || WEXITSTATUS(status) != 0;
+        failedStarts[i] += isError ? 1 : 0;
+        if (failedStarts[i] <= kEndsOfMachine) {
+          w.Log("%s ended with exit code %d", nodes[i].name.c_str(),
+                WIFEXITED(status) ? WEXITSTATUS(status) : -1);
+        }
+      } else if (NowMs() >= restartAt[i]) {
+        restartAt[i] = -1;
+        w.mFleet->Start(nodes[i]);
+      }
+    }
+  });
+  w.mLoop.RunUntil(NowMs() + kGapMs * 7 + 3000 + kRecoveryMs);
+  w.Log("daemons in rotation: %zu of %zu", w.mFleet->ReadyCount(), nodes.size());
+  w.mResults.clear();
+  const double from = NowMs();
+  w.mLoop.RunUntil(from + 2000);
+  w.mHasTraffic = false;
+  w.mLoop.RunUntil(NowMs() + 4500);
+  uint64_t asked = 0;
+  uint64_t served = 0;
+  for (const Caller::Result& it : w.mResults) {
+    if (it.sentMs >= from) {
+      ++asked;
+      served += it.end == Caller::End::Answered ? 1 : 0;
+    }
+  }
+  isWatching = false;
+  int affected = 0;
+  for (size_t i = 0; i < nodes.size(); ++i) {
+    w.Log("%s: %d starts failed", nodes[i].name.c_str(), failedStarts[i]);
+    affected += failedStarts[i] >= kEndsOfMachine ? 1 : 0;
+  }
+  w.LogEnds();
+  w.Log("Fault: on %d of %zu machines the program failed to start %d times or "
+        "more; %lu of the last %lu requests were served",
+        affected, nodes.size(), kEndsOfMachine,
+        static_cast<unsigned long>(served), static_cast<unsigned long>(asked));
+  return affected >= 2 ? 1 : 0;
+}
+
 std::string
 Value(const char* argument, const char* name)
 {
@@ -177,6 +284,7 @@
   signal(SIGPIPE, SIG_IGN);
   const std::map<std::string, int (*)(World&)> scenarios{
     { "one-way", RunOneWay },
+    { "empty-keys", RunEmptyKeys },
   };
   const auto scenario = scenarios.find(options.scenario);
   if (scenario == scenarios.end()) {
--- a/review/standins-2/Proxy.h
+++ b/review/standins-2/Proxy.h
@@ -4,7 +4,7 @@
 // Carries the daemons' own traffic between one zone and the others. The daemons
 // of the zone have other internal ports than the rest, so each side finds this
 // proxy at the addresses of the other side. It can drop all that goes out of
-// the zone while it carries all that goes in.
+// the zone while it carries all that goes in, or the other way round.
 
 #include <memory>
 #include <set>
@@ -30,7 +30,7 @@
       mFromInside[ip] = std::make_unique<Udp>(
         loop, Addr{ ip, insidePort }, [this, ip](const Addr& from, const std::string& b) {
           const auto it = mFromOutside.find(from.ip);
-          if (!mIsCut && it != mFromOutside.end()) {
+          if (mCut != Cut::Out && it != mFromOutside.end()) {
             it->second->Send({ ip, mOutsidePort }, b);
           }
         });
@@ -41,7 +41,7 @@
       mFromOutside[ip] = std::make_unique<Udp>(
         loop, Addr{ ip, outsidePort }, [this, ip](const Addr& from, const std::string& b) {
           const auto it = mFromInside.find(from.ip);
-          if (it != mFromInside.end()) {
+          if (mCut != Cut::In && it != mFromInside.end()) {
             it->second->Send({ ip, mInsidePort }, b);
           }
         });
@@ -50,12 +50,21 @@
     }
   }
 
-  // While set, nothing gets out of the zone. A TCP connection needs packets
-  // both ways, so new ones don't come about and open ones stand still.
-  void SetCut(bool isCut)
+  enum class Cut
   {
-    mIsCut = isCut;
-    if (!isCut) {
+    None,
+    // Nothing gets out of the zone.
+    Out,
+    // Nothing gets into the zone.
+    In
+  };
+
+  // A TCP connection needs packets both ways, so during a cut new ones don't
+  // come about and open ones stand still.
+  void SetCut(Cut cut)
+  {
+    mCut = cut;
+    if (cut == Cut::None) {
       for (const int fd : std::exchange(mHeld, {})) {
         mLoop.Close(fd);
       }
@@ -77,7 +86,7 @@
       if (in < 0) {
         return;
       }
-      if (mIsCut) {
+      if (mCut != Cut::None) {
         mHeld.insert(in);
         mLoop.Add(in, 0, [this, in](short) {
           mHeld.erase(in);
@@ -103,7 +112,7 @@
 
   void Pump(int from, short events)
   {
-    if (mIsCut) {
+    if (mCut != Cut::None) {
       mLoop.SetEvents(from, 0);
       if ((events & (POLLERR | POLLHUP)) == 0) {
         return;
@@ -116,7 +125,7 @@
     }
     const int to = mPeers[from];
     // Replicas of a small fleet fit into the socket's buffer.
-    if (n <= 0 || mIsCut || send(to, buffer, n, MSG_NOSIGNAL) != n) {
+    if (n <= 0 || mCut != Cut::None || send(to, buffer, n, MSG_NOSIGNAL) != n) {
       mPeers.erase(from);
       mPeers.erase(to);
       mLoop.Close(from);
@@ -127,7 +136,7 @@
   Loop& mLoop;
   uint16_t mInsidePort;
   uint16_t mOutsidePort;
-  bool mIsCut = false;
+  Cut mCut = Cut::None;
   // By address of the daemon outside, and inside.
   std::map<uint32_t, std::unique_ptr<Udp>> mFromInside;
   std::map<uint32_t, std::unique_ptr<Udp>> mFromOutside;
