--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-g++ -std=c++17 -O1 -Wall -Wextra -o target/review-2/case review/standins-2/Main.cpp
+g++ -std=c++17 -O1 -Wall -Wextra -o target/review-2/case review/standins-2/Main.cc
--- a/review/standins-2/Caller.h
+++ b/review/standins-2/Caller.hh
@@ -1,12 +1,12 @@
-#ifndef review2_Caller_h
-#define review2_Caller_h
+#ifndef review2_Caller_hh
+#define review2_Caller_hh
 
 // Stand-in for clients: one flow for each request, copies of the opening packet
 // after 200 ms and 600 ms, and the end of the try after 1.4 s.
 
 #include <memory>
 
-#include "Packet.h"
+#include "Packet.hh"
 
 class Caller
 {
@@ -41,12 +41,10 @@
 
   static const char* Name(End end)
   {
-    static const char* const kNames[] = { "answered",
-                                          "reset by the system",
-                                          "reset by the endpoint",
-                                          "not opened",
-                                          "no answer",
-                                          "wrong answer" };
+    static const char* const kNames[] = {
+      "answered",   "reset by the system", "reset by the endpoint",
+      "not opened", "no answer",           "wrong answer"
+    };
     return kNames[static_cast<int>(end)];
   }
 
@@ -100,7 +98,10 @@
     std::string request;
   };
 
-  void Send(Flow& f, uint8_t flags, uint32_t seq, uint32_t ack,
+  void Send(Flow& f,
+            uint8_t flags,
+            uint32_t seq,
+            uint32_t ack,
             const std::string& data)
   {
     Packet p;
@@ -171,8 +172,8 @@
         f->isOpen = true;
         f->peerNext = p.seq + 1;
         f->echo = p.echo;
-        f->request = "GET /x HTTP/1.1\r\nHost: h\r\nRequest-Id: " + f->id +
-                     "\r\n\r\n";
+        f->request =
+          "GET /x HTTP/1.1\r\nHost: h\r\nRequest-Id: " + f->id + "\r\n\r\n";
         SendRequest(f, 200);
       }
       return;
@@ -180,12 +181,10 @@
     if (!p.data.empty() && p.seq == f->peerNext) {
       f->echo = p.echo;
       f->peerNext += static_cast<uint32_t>(p.data.size());
-      const auto next =
-        f->seq + 1 + static_cast<uint32_t>(f->request.size());
+      const auto next = f->seq + 1 + static_cast<uint32_t>(f->request.size());
       Send(*f, kAck, next, f->peerNext, "");
       Send(*f, kAck | kFin, next, f->peerNext, "");
-      const bool isOwn =
-        p.data.find("answer to " + f->id) != std::string::npos;
+      const bool isOwn = p.data.find("answer to " + f->id) != std::string::npos;
       Finish(*f, isOwn ? End::Answered : End::WrongAnswer);
     }
   }
--- a/review/standins-2/Fleet.h
+++ b/review/standins-2/Fleet.hh
@@ -1,5 +1,5 @@
-#ifndef review2_Fleet_h
-#define review2_Fleet_h
+#ifndef review2_Fleet_hh
+#define review2_Fleet_hh
 
 // Starts the nodes as processes, with settings like those of a small
 // deployment, and stands in for the routers.
@@ -9,7 +9,7 @@
 #include <sys/prctl.h>
 #include <sys/wait.h>
 
-#include "Store.h"
+#include "Store.hh"
 
 struct Node
 {
@@ -21,7 +21,6 @@
   int index = 0;
   pid_t pid = 0;
   int misses = 2;
-  uint64_t probes = 0;
   std::string settingsPath;
   std::string logPath;
   // Wait status of the process after its end.
@@ -190,7 +189,9 @@
         anywhere.push_back(&it);
       }
     }
-    const auto& from = in.empty() ? anywhere : 2 * in.size() < all.size() ? all : in;
+    const auto& from = in.empty()                   ? anywhere
+                       : 2 * in.size() < all.size() ? all
+                                                    : in;
     if (from.empty()) {
       return {};
     }
@@ -230,14 +231,13 @@
         *isOver = true;
         mLoop.Close(fd);
         n.misses = isReady ? 0 : std::min(n.misses + 1, 2);
-        n.probes += isReady ? 1 : 0;
       }
     };
     mLoop.Add(fd, POLLOUT, [this, fd, isSent, end, &n](short events) {
       if (!*isSent) {
-        const std::string request = "GET /v1/ready HTTP/1.1\r\nHost: " +
-                                    n.ready.Text() +
-                                    "\r\nConnection: close\r\n\r\n";
+        const std::string request =
+          "GET /v1/ready HTTP/1.1\r\nHost: " + n.ready.Text() +
+          "\r\nConnection: close\r\n\r\n";
         if ((events & (POLLERR | POLLHUP)) != 0 ||
             send(fd, request.data(), request.size(), MSG_NOSIGNAL) < 0) {
           end(false);
--- a/review/standins-2/Main.cpp
+++ b/review/standins-2/Main.cc
@@ -5,7 +5,7 @@
 #include <cstring>
 #include <iostream>
 
-#include "World.h"
+#include "World.hh"
 
 namespace {
 
@@ -14,8 +14,9 @@
 constexpr int kMaxStarts = 12;
 
 // Nothing gets out of the first zone for a while, and what goes in still
-// arrives; with DIRECTION=in it is the other way round. Just after the start of the cut, the configuration gets a route and an
-// endpoint of the zone begins to drain.
+// arrives; with DIRECTION=in it is the other way round. Just after the start of
+// the cut, the configuration gets a route and an endpoint of the zone begins to
+// drain.
 int
 RunOneWay(World& w)
 {
@@ -67,7 +68,9 @@
     w.mProxy->SetCut(isIn ? ZoneProxy::Cut::In : ZoneProxy::Cut::Out);
     w.Log("disruption: nothing gets %s %s %s the other zones for %.0f ms; the "
           "store, the clients and the other direction are reachable",
-          isIn ? "into" : "out of", w.kZones[0].c_str(), isIn ? "from" : "to",
+          isIn ? "into" : "out of",
+          w.kZones[0].c_str(),
+          isIn ? "from" : "to",
           kCutMs);
   }
   w.mLoop.RunUntil(cutAt + 30);
@@ -105,14 +108,17 @@
         [&node](const Addr&) { return node.ingress; },
         [&, n](const Caller::Result& r) {
           w.Log("request new-route-%d, sent %.0f ms after the acknowledgement "
-                "through %s: %s", n, r.sentMs - acknowledgedAt,
-                node.name.c_str(), Caller::Name(r.end));
+                "through %s: %s",
+                n,
+                r.sentMs - acknowledgedAt,
+                node.name.c_str(),
+                Caller::Name(r.end));
           refused += r.end == Caller::End::ResetBySystem ? 1 : 0;
           served += r.end == Caller::End::Answered ? 1 : 0;
-          unanswered += r.end == Caller::End::NotOpened ||
-                            r.end == Caller::End::NoAnswer
-                          ? 1
-                          : 0;
+          unanswered +=
+            r.end == Caller::End::NotOpened || r.end == Caller::End::NoAnswer
+              ? 1
+              : 0;
         });
     });
   }
@@ -134,18 +140,20 @@
   uint64_t late = 0;
   uint64_t lateInSmall = 0;
   for (const Upstream::Opening& it : drained.mOpenings) {
-    const bool isLate = it.arrivedMs > acknowledgedAt + kDrainMs &&
-                        it.arrivedMs < healedAt;
-    lateInSmall += it.arrivedMs > acknowledgedAt + kSmallDrainMs &&
-                       it.arrivedMs < healedAt
-                     ? 1
-                     : 0;
+    const bool isLate =
+      it.arrivedMs > acknowledgedAt + kDrainMs && it.arrivedMs < healedAt;
+    lateInSmall +=
+      it.arrivedMs > acknowledgedAt + kSmallDrainMs && it.arrivedMs < healedAt
+        ? 1
+        : 0;
     if (isLate) {
       ++late;
       const Node* node = w.NodeAt(it.via);
-      w.Log("DRAIN: endpoint %s took a flow %.0f ms after its drain, through %s",
-            drained.Settings().id.c_str(), it.arrivedMs - acknowledgedAt,
-            node == nullptr ? "?" : node->name.c_str());
+      w.Log(
+        "DRAIN: endpoint %s took a flow %.0f ms after its drain, through %s",
+        drained.Settings().id.c_str(),
+        it.arrivedMs - acknowledgedAt,
+        node == nullptr ? "?" : node->name.c_str());
     }
   }
   w.Log("CONFIG: requests of the new route: %lu refused, %lu not answered, "
@@ -155,8 +163,10 @@
         static_cast<unsigned long>(served));
   w.Log("DRAIN: %lu flows opened later than %.0f ms after the drain, %lu later "
         "than the %.0f ms of a small deployment",
-        static_cast<unsigned long>(late), kDrainMs,
-        static_cast<unsigned long>(lateInSmall), kSmallDrainMs);
+        static_cast<unsigned long>(late),
+        kDrainMs,
+        static_cast<unsigned long>(lateInSmall),
+        kSmallDrainMs);
   return refused > 0 || late > 0 ? 1 : 0;
 }
 
@@ -181,8 +191,9 @@
   if (w.mOptions.hasTrouble) {
     w.mFleet->SetExtraBounds(",\"cold_overage\":null,\"cold_slack\":null,"
                              "\"evacuate_ms\":null");
-    w.Log("disruption: the settings files get the keys cold_overage, cold_slack "
-          "and evacuate_ms, which are empty");
+    w.Log(
+      "disruption: the settings files get the keys cold_overage, cold_slack "
+      "and evacuate_ms, which are empty");
   }
   auto& nodes = w.mFleet->Nodes();
   for (Node& it : nodes) {
@@ -217,7 +228,8 @@
         const bool isError = !WIFEXITED(status) || WEXITSTATUS(status) != 0;
         failedStarts[i] += isError ? 1 : 0;
         if (failedStarts[i] <= kEndsOfMachine) {
-          w.Log("%s ended with exit code %d", nodes[i].name.c_str(),
+          w.Log("%s ended with exit code %d",
+                nodes[i].name.c_str(),
                 WIFEXITED(status) ? WEXITSTATUS(status) : -1);
         }
       } else if (NowMs() >= restartAt[i]) {
@@ -227,7 +239,8 @@
     }
   });
   w.mLoop.RunUntil(NowMs() + kGapMs * 7 + 3000 + kRecoveryMs);
-  w.Log("daemons in rotation: %zu of %zu", w.mFleet->ReadyCount(), nodes.size());
+  w.Log(
+    "daemons in rotation: %zu of %zu", w.mFleet->ReadyCount(), nodes.size());
   w.mResults.clear();
   const double from = NowMs();
   w.mLoop.RunUntil(from + 2000);
@@ -250,11 +263,112 @@
   w.LogEnds();
   w.Log("Fault: on %d of %zu machines the program failed to start %d times or "
         "more; %lu of the last %lu requests were served",
-        affected, nodes.size(), kEndsOfMachine,
-        static_cast<unsigned long>(served), static_cast<unsigned long>(asked));
+        affected,
+        nodes.size(),
+        kEndsOfMachine,
+        static_cast<unsigned long>(served),
+        static_cast<unsigned long>(asked));
   return affected >= 2 ? 1 : 0;
 }
 
+// Three endpoints lose their path to the store, so that the store removes their
+// entries, and the two machines that read the store are partitioned from it.
+int
+RunLateRemoval(World& w)
+{
+  constexpr int kRounds = 7;
+  constexpr int kEndpoints = 3;
+  constexpr double kLossMs = 9500;
+  constexpr double kCutMs = 4000;
+  constexpr double kSpacingMs = 700;
+  constexpr double kRestMs = 3500;
+  w.Start(/*proxiesFirstZone=*/false);
+  w.WaitUntilReady();
+  w.StartTraffic(50);
+  w.mLoop.RunUntil(NowMs() + kSmallStableWindowMs + 1000);
+  auto& nodes = w.mFleet->Nodes();
+  // Returns the machine that has called the store most often in the last time.
+  const auto reader = [&](double ms, int except) {
+    std::vector<uint64_t> before;
+    for (const Node& it : nodes) {
+      before.push_back(w.mStore.CallCount(it.index));
+    }
+    w.mLoop.RunUntil(NowMs() + ms);
+    int best = -1;
+    uint64_t most = 0;
+    for (const Node& it : nodes) {
+      const uint64_t calls = w.mStore.CallCount(it.index) - before[it.index];
+      if (it.index != except && calls > most) {
+        most = calls;
+        best = it.index;
+      }
+    }
+    return best;
+  };
+  // NO_CUTS=1 leaves the machines' paths to the store open.
+  const bool hasCuts = w.mOptions.hasTrouble && getenv("NO_CUTS") == nullptr;
+  const auto cut = [&](int node) {
+    if (node < 0 || !hasCuts) {
+      return;
+    }
+    w.mStore.SetPath(node, Store::Path::Silent);
+    w.Log("disruption: %s is partitioned from the store for %.0f ms",
+          nodes[node].name.c_str(),
+          kCutMs);
+    w.mLoop.After(kCutMs,
+                  [&w, node] { w.mStore.SetPath(node, Store::Path::Open); });
+  };
+  uint64_t late = 0;
+  for (int round = 0; round < kRounds; ++round) {
+    const double startedAt = NowMs();
+    std::vector<Upstream*> lost;
+    for (int i = 0; i < kEndpoints && w.mOptions.hasTrouble; ++i) {
+      lost.push_back(w.mUpstreams[(round * kEndpoints + i) % 14].get());
+      w.Log("disruption: endpoint %s loses its path to the store for %.0f ms",
+            lost.back()->Settings().id.c_str(),
+            kLossMs);
+      w.mLoop.At(startedAt + i * kSpacingMs,
+                 [it = lost.back()] { it->LoseStore(); });
+    }
+    const int first = reader(1200, -1);
+    cut(first);
+    const int second = reader(1200, first);
+    cut(second);
+    w.mLoop.RunUntil(startedAt + kLossMs);
+    for (Upstream* it : lost) {
+      const double removedAt = it->RemovedMs();
+      w.Log("store: the entry of %s was removed at %.1f",
+            it->Settings().id.c_str(),
+            removedAt);
+      for (const Upstream::Opening& n : it->mOpenings) {
+        const Node* node = w.NodeAt(n.via);
+        const bool isCut =
+          node != nullptr && (node->index == first || node->index == second);
+        const bool isInTouch = node != nullptr && !(hasCuts && isCut);
+        if (removedAt > 0 && isInTouch &&
+            n.arrivedMs > removedAt + kSmallDrainMs) {
+          ++late;
+          w.Log("DRAIN: endpoint %s took a flow %.0f ms after the removal, "
+                "through %s, which is in touch",
+                it->Settings().id.c_str(),
+                n.arrivedMs - removedAt,
+                node->name.c_str());
+        }
+      }
+      it->mOpenings.clear();
+      it->FindStore();
+    }
+    w.mLoop.RunUntil(NowMs() + kRestMs);
+  }
+  w.mHasTraffic = false;
+  w.mLoop.RunUntil(NowMs() + 2000);
+  w.LogEnds();
+  w.Log("DRAIN: %lu flows opened later than %.0f ms after the removal",
+        static_cast<unsigned long>(late),
+        kSmallDrainMs);
+  return late > 0 ? 1 : 0;
+}
+
 std::string
 Value(const char* argument, const char* name)
 {
@@ -285,6 +399,7 @@
   const std::map<std::string, int (*)(World&)> scenarios{
     { "one-way", RunOneWay },
     { "empty-keys", RunEmptyKeys },
+    { "late-removal", RunLateRemoval },
   };
   const auto scenario = scenarios.find(options.scenario);
   if (scenario == scenarios.end()) {
--- a/review/standins-2/Net.h
+++ b/review/standins-2/Net.hh
@@ -1,5 +1,5 @@
-#ifndef review2_Net_h
-#define review2_Net_h
+#ifndef review2_Net_hh
+#define review2_Net_hh
 
 // Sockets, time and addresses for the stand-ins. Everything runs in one thread
 // that polls all descriptors.
@@ -80,7 +80,8 @@
     setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
   }
   const sockaddr_in a = ToSockaddr(at);
-  if (fd < 0 || bind(fd, reinterpret_cast<const sockaddr*>(&a), sizeof(a)) != 0) {
+  if (fd < 0 ||
+      bind(fd, reinterpret_cast<const sockaddr*>(&a), sizeof(a)) != 0) {
     throw CannotRun("cannot bind " + at.Text());
   }
   return fd;
--- a/review/standins-2/Packet.h
+++ b/review/standins-2/Packet.hh
@@ -1,5 +1,5 @@
-#ifndef review2_Packet_h
-#define review2_Packet_h
+#ifndef review2_Packet_hh
+#define review2_Packet_hh
 
 // The packet head of the platform's pages, with a keyed sum over all fields but
 // echo, pad and the flag BOUNCED.
@@ -7,7 +7,7 @@
 #include <cstdint>
 #include <string>
 
-#include "Net.h"
+#include "Net.hh"
 
 constexpr uint8_t kSyn = 128;
 constexpr uint8_t kAck = 32;
@@ -29,11 +29,17 @@
   uint32_t Sum() const
   {
     uint64_t h = 0x5eed1234abcd9876;
-    const auto mix = [&](uint64_t v) { h = (h ^ v) * 0x100000001b3 + (h >> 29); };
-    for (const uint64_t v : { uint64_t{ src.ip }, uint64_t{ src.port },
-                              uint64_t{ dst.ip }, uint64_t{ dst.port },
-                              uint64_t{ flags }, uint64_t{ seq },
-                              uint64_t{ ack }, uint64_t{ data.size() } }) {
+    const auto mix = [&](uint64_t v) {
+      h = (h ^ v) * 0x100000001b3 + (h >> 29);
+    };
+    for (const uint64_t v : { uint64_t{ src.ip },
+                              uint64_t{ src.port },
+                              uint64_t{ dst.ip },
+                              uint64_t{ dst.port },
+                              uint64_t{ flags },
+                              uint64_t{ seq },
+                              uint64_t{ ack },
+                              uint64_t{ data.size() } }) {
       mix(v);
     }
     for (const char c : data) {
--- a/review/standins-2/Proxy.h
+++ b/review/standins-2/Proxy.hh
@@ -1,5 +1,5 @@
-#ifndef review2_Proxy_h
-#define review2_Proxy_h
+#ifndef review2_Proxy_hh
+#define review2_Proxy_hh
 
 // Carries the daemons' own traffic between one zone and the others. The daemons
 // of the zone have other internal ports than the rest, so each side finds this
@@ -10,7 +10,7 @@
 #include <set>
 #include <utility>
 
-#include "Net.h"
+#include "Net.hh"
 
 class ZoneProxy
 {
@@ -28,7 +28,9 @@
   {
     for (const uint32_t ip : outside) {
       mFromInside[ip] = std::make_unique<Udp>(
-        loop, Addr{ ip, insidePort }, [this, ip](const Addr& from, const std::string& b) {
+        loop,
+        Addr{ ip, insidePort },
+        [this, ip](const Addr& from, const std::string& b) {
           const auto it = mFromOutside.find(from.ip);
           if (mCut != Cut::Out && it != mFromOutside.end()) {
             it->second->Send({ ip, mOutsidePort }, b);
@@ -39,7 +41,9 @@
     }
     for (const uint32_t ip : inside) {
       mFromOutside[ip] = std::make_unique<Udp>(
-        loop, Addr{ ip, outsidePort }, [this, ip](const Addr& from, const std::string& b) {
+        loop,
+        Addr{ ip, outsidePort },
+        [this, ip](const Addr& from, const std::string& b) {
           const auto it = mFromInside.find(from.ip);
           if (mCut != Cut::In && it != mFromInside.end()) {
             it->second->Send({ ip, mInsidePort }, b);
@@ -82,7 +86,8 @@
       throw CannotRun("cannot listen on " + at.Text());
     }
     mLoop.Add(fd, POLLIN, [this, fd, target](short) {
-      const int in = accept4(fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+      const int in =
+        accept4(fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
       if (in < 0) {
         return;
       }
--- a/review/standins-2/Store.h
+++ b/review/standins-2/Store.hh
@@ -1,5 +1,5 @@
-#ifndef review2_Store_h
-#define review2_Store_h
+#ifndef review2_Store_hh
+#define review2_Store_hh
 
 // Stand-in for the platform's store: keys, ranges and watches over HTTP/1.1.
 // Each node gets an address of its own, so that the store can tell the nodes
@@ -9,7 +9,7 @@
 #include <memory>
 #include <set>
 
-#include "Net.h"
+#include "Net.hh"
 
 class Store
 {
@@ -50,7 +50,6 @@
   }
 
   void SetPath(int node, Path path) { mPaths[node] = path; }
-  void SetEra(uint64_t era) { mEra = era; }
 
   uint64_t Put(const std::string& key, const std::string& value)
   {
@@ -101,6 +100,9 @@
     std::string in;
     bool isClosed = false;
   };
+  // The store is never restored from a copy here.
+  static constexpr uint64_t kEra = 0;
+
   struct Watch
   {
     std::shared_ptr<Connection> connection;
@@ -148,8 +150,8 @@
         std::string out;
         for (size_t i = name.size() + 1; i < pair.size(); ++i) {
           if (pair[i] == '%') {
-            out.push_back(static_cast<char>(
-              std::stoi(pair.substr(i + 1, 2), nullptr, 16)));
+            out.push_back(
+              static_cast<char>(std::stoi(pair.substr(i + 1, 2), nullptr, 16)));
             i += 2;
           } else {
             out.push_back(pair[i]);
@@ -217,10 +219,11 @@
     } else if (target.rfind("/v1/kv-range", 0) == 0) {
       Range(c, Param(target, "prefix"), Param(target, "after"));
     } else if (target.rfind("/v1/kv-watch", 0) == 0) {
-      mWatches.push_back({ c,
-                           Param(target, "prefix"),
-                           std::stoull("0" + Param(target, "after")),
-                           NowMs() + std::stod("0" + Param(target, "wait_ms")) });
+      mWatches.push_back(
+        { c,
+          Param(target, "prefix"),
+          std::stoull("0" + Param(target, "after")),
+          NowMs() + std::stod("0" + Param(target, "wait_ms")) });
       CheckWatches();
     } else {
       Answer(c, 404, "{}");
@@ -254,8 +257,8 @@
     }
     Answer(c,
            200,
-           "{\"items\":[" + items + "],\"has_more\":" +
-             (hasMore ? "true" : "false") +
+           "{\"items\":[" + items +
+             "],\"has_more\":" + (hasMore ? "true" : "false") +
              ",\"current_rev\":" + std::to_string(mRevision) + "}");
   }
 
@@ -274,8 +277,9 @@
         }
         events += events.empty() ? "" : ",";
         events += e.removed
-                    ? "{\"key\":" + Quote(e.key) + ",\"revision\":" +
-                        std::to_string(e.revision) + ",\"removed\":true}"
+                    ? "{\"key\":" + Quote(e.key) +
+                        ",\"revision\":" + std::to_string(e.revision) +
+                        ",\"removed\":true}"
                     : ItemText(e.key, { e.value, e.revision, e.created });
       }
       if (events.empty() && NowMs() < it->until) {
@@ -285,8 +289,8 @@
       if (PathOf(it->connection->node) == Path::Open) {
         Answer(it->connection,
                200,
-               "{\"events\":[" + events + "],\"current_rev\":" +
-                 std::to_string(mRevision) + "}");
+               "{\"events\":[" + events +
+                 "],\"current_rev\":" + std::to_string(mRevision) + "}");
       }
       it = mWatches.erase(it);
     }
@@ -303,7 +307,7 @@
       "HTTP/1.1 " + std::to_string(status) +
       (status == 200 ? " OK" : " Error") +
       "\r\nContent-Type: application/json\r\nStore-Era: " +
-      std::to_string(mEra) +
+      std::to_string(kEra) +
       "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
     // Answers are short; a socket buffer holds several of them.
     if (send(c->fd, out.data(), out.size(), MSG_NOSIGNAL) !=
@@ -317,7 +321,6 @@
   std::map<std::string, Item> mItems;
   std::vector<Change> mEvents;
   uint64_t mRevision = 1;
-  uint64_t mEra = 0;
   std::list<Watch> mWatches;
   std::map<int, Path> mPaths;
   std::map<int, uint64_t> mCalls;
--- a/review/standins-2/Upstream.h
+++ b/review/standins-2/Upstream.hh
@@ -1,5 +1,5 @@
-#ifndef review2_Upstream_h
-#define review2_Upstream_h
+#ifndef review2_Upstream_hh
+#define review2_Upstream_hh
 
 // Stand-in for an endpoint: speaks the packets of the platform's pages, keeps
 // its entry in the store and reports what it took and ran.
@@ -7,8 +7,8 @@
 #include <deque>
 #include <memory>
 
-#include "Packet.h"
-#include "Store.h"
+#include "Packet.hh"
+#include "Store.hh"
 
 struct UpstreamSettings
 {
@@ -41,13 +41,20 @@
     : mLoop(loop)
     , mStore(store)
     , mSettings(std::move(settings))
-    , mUdp(loop, mSettings.address, [this](const Addr& from, const std::string& b) {
-      OnDatagram(from, b);
-    })
+    , mUdp(
+        loop,
+        mSettings.address,
+        [this](const Addr& from, const std::string& b) { OnDatagram(from, b); })
     , mSeed(static_cast<uint32_t>(mSettings.instance) * 2654435761U)
   {
     Write();
-    Beat();
+    // Endpoints don't write at the same moment.
+    mLoop.After(rand() % static_cast<int>(kHeartbeatMs), [this] {
+      if (mHasStore) {
+        Write();
+        Beat();
+      }
+    });
   }
 
   const UpstreamSettings& Settings() const { return mSettings; }
@@ -61,11 +68,22 @@
   void LoseStore()
   {
     mHasStore = false;
-    mLoop.After(3 * kHeartbeatMs, [this] {
-      mStore.Remove("servers/" + mSettings.id);
-      mRemovedMs = NowMs();
+    mLoop.At(mWrittenMs + 3 * kHeartbeatMs, [this] {
+      if (!mHasStore) {
+        mStore.Remove("servers/" + mSettings.id);
+        mRemovedMs = NowMs();
+      }
     });
   }
+  // The path to the store is back.
+  void FindStore()
+  {
+    mHasStore = true;
+    mRemovedMs = -1;
+    Write();
+    Beat();
+  }
+  // When the store removed the entry; negative while it is there.
   double RemovedMs() const { return mRemovedMs; }
 
   std::vector<Opening> mOpenings;
@@ -95,13 +113,14 @@
 
   void Write()
   {
+    mWrittenMs = NowMs();
     mStore.Put(
       "servers/" + mSettings.id,
       "{\"service\":\"" + mSettings.service + "\",\"address\":\"" +
         mSettings.address.Text() + "\",\"zone\":\"" + mSettings.zone +
         "\",\"version\":\"v1\",\"slots\":" + std::to_string(mSettings.slots) +
-        ",\"state\":\"" + mState +
-        "\",\"cold_remaining_ms\":0,\"sequence\":" + std::to_string(++mSequence) +
+        ",\"state\":\"" + mState + "\",\"cold_remaining_ms\":0,\"sequence\":" +
+        std::to_string(++mSequence) +
         ",\"born\":" + std::to_string(1760000000000 + mSeed % 1000) + "}");
   }
   void Beat()
@@ -114,8 +133,12 @@
     });
   }
 
-  void Send(const Key& key, uint8_t flags, uint32_t seq, uint32_t ack,
-            uint32_t echo, const std::string& data)
+  void Send(const Key& key,
+            uint8_t flags,
+            uint32_t seq,
+            uint32_t ack,
+            uint32_t echo,
+            const std::string& data)
   {
     Packet p;
     p.src = key.second;
@@ -219,9 +242,10 @@
         const auto it = mFlows.find(key);
         if (it != mFlows.end()) {
           const std::string body = "answer to " + id;
-          it->second.answer = "HTTP/1.1 200 OK\r\nResponse-Signature: " + id +
-                              "\r\nContent-Length: " +
-                              std::to_string(body.size()) + "\r\n\r\n" + body;
+          it->second.answer =
+            "HTTP/1.1 200 OK\r\nResponse-Signature: " + id +
+            "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+            body;
           it->second.sent += static_cast<uint32_t>(it->second.answer.size());
           Transmit(key, 200);
         }
@@ -253,6 +277,7 @@
   std::string mState = "ready";
   uint64_t mSequence = 0;
   bool mHasStore = true;
+  double mWrittenMs = 0;
   double mRemovedMs = -1;
   std::map<Key, Flow> mFlows;
   std::deque<std::pair<Key, std::string>> mQueue;
--- a/review/standins-2/World.h
+++ b/review/standins-2/World.hh
@@ -1,5 +1,5 @@
-#ifndef review2_World_h
-#define review2_World_h
+#ifndef review2_World_hh
+#define review2_World_hh
 
 // A small deployment on loopback addresses: three zones, seven daemons, a
 // store, endpoints and clients. All addresses are in 127.B.0.0/16, where B is
@@ -8,10 +8,10 @@
 #include <cstdarg>
 #include <random>
 
-#include "Caller.h"
-#include "Fleet.h"
-#include "Proxy.h"
-#include "Upstream.h"
+#include "Caller.hh"
+#include "Fleet.hh"
+#include "Proxy.hh"
+#include "Upstream.hh"
 
 // Bounds of the small deployments.
 constexpr double kSmallDrainMs = 3000;
@@ -89,8 +89,10 @@
                               const std::map<uint32_t, std::string>& routes)
   {
     std::string list;
-    const auto add = [&](const std::string& name, const Addr& at,
-                         const std::string& service, const char* kind) {
+    const auto add = [&](const std::string& name,
+                         const Addr& at,
+                         const std::string& service,
+                         const char* kind) {
       list += (list.empty() ? "" : ",") + std::string("{\"name\":\"") + name +
               "\",\"hostname\":\"" + at.IpText() + "\",\"prefix\":\"/" +
               std::to_string(at.port) + "/\",\"kind\":\"" + kind +
@@ -102,13 +104,19 @@
       add("r-" + std::to_string(number), Route(number), service, "safe");
     }
     for (uint32_t i = 0; i < 20; ++i) {
-      add("idle-" + std::to_string(i), At(221, 1 + i, 8080), "statements", "safe");
+      add("idle-" + std::to_string(i),
+          At(221, 1 + i, 8080),
+          "statements",
+          "safe");
     }
     std::string services;
-    for (const std::string& it : { std::string("ledger"), std::string("statements") }) {
-      services += (services.empty() ? "" : ",") + std::string("{\"name\":\"") + it +
+    for (const std::string& it :
+         { std::string("ledger"), std::string("statements") }) {
+      services += (services.empty() ? "" : ",") + std::string("{\"name\":\"") +
+                  it +
                   "\",\"health_path\":\"/health\",\"max_flows\":2000,"
-                  "\"protocol\":\"h1\",\"tls\":false" + mServiceExtra + "}";
+                  "\"protocol\":\"h1\",\"tls\":false" +
+                  mServiceExtra + "}";
     }
     const uint64_t revision = mStore.Put(
       "op/config",
@@ -128,7 +136,8 @@
     UpstreamSettings s;
     s.instance = 0x9000000000ULL + std::random_device{}() % 0x7fffffff * 16 + n;
     char id[32];
-    snprintf(id, sizeof(id), "i-%010llx", static_cast<unsigned long long>(s.instance));
+    snprintf(
+      id, sizeof(id), "i-%010llx", static_cast<unsigned long long>(s.instance));
     s.id = id;
     s.address = At(64 + zone, 10 + n, mFleetSettings.datagramPort + 7);
     s.service = service;
@@ -136,12 +145,15 @@
     s.workMs = workMs;
     s.clientPort = mFleetSettings.datagramPort;
     mUpstreams.push_back(std::make_unique<Upstream>(mLoop, mStore, s));
-    Log("endpoint %s of %s in %s at %s", id, service.c_str(), s.zone.c_str(),
+    Log("endpoint %s of %s in %s at %s",
+        id,
+        service.c_str(),
+        s.zone.c_str(),
         s.address.Text().c_str());
     return *mUpstreams.back();
   }
 
-  // Starts everything. With aProxiesFirstZone, the traffic between the daemons
+  // Starts everything. With proxiesFirstZone, the traffic between the daemons
   // of the first zone and the others goes through a proxy.
   void Start(bool proxiesFirstZone)
   {
@@ -177,7 +189,9 @@
       mStore.Listen(StoreOf(it), it.index);
       mFleet->WriteSettings(it, StoreOf(it), Seeds(), true);
       mFleet->Start(it);
-      Log("%s starts at %s in %s", it.name.c_str(), it.ingress.IpText().c_str(),
+      Log("%s starts at %s in %s",
+          it.name.c_str(),
+          it.ingress.IpText().c_str(),
           it.zone.c_str());
     }
   }
@@ -231,8 +245,10 @@
   void LogEnds()
   {
     for (const auto& [key, n] : mEnds) {
-      Log("requests of clients in %s: %s: %lu", kZones[key.first].c_str(),
-          key.second.c_str(), static_cast<unsigned long>(n));
+      Log("requests of clients in %s: %s: %lu",
+          kZones[key.first].c_str(),
+          key.second.c_str(),
+          static_cast<unsigned long>(n));
     }
   }
 
