--- a/review/standins-2/Proxy.hh
+++ b/review/standins-2/Proxy.hh
@@ -7,7 +7,6 @@
 // the zone while it carries all that goes in, or the other way round.
 
 #include <memory>
-#include <set>
 #include <utility>
 
 #include "Net.hh"
@@ -63,42 +62,53 @@
     In
   };
 
-  // A TCP connection needs packets both ways, so during a cut new ones don't
-  // come about and open ones stand still.
+  // A TCP connection needs packets both ways, so during a cut open ones stand
+  // still, and attempts to open one get no reply: the queues of the listening
+  // sockets are full, so the kernel drops the opening packets.
   void SetCut(Cut cut)
   {
     mCut = cut;
-    if (cut == Cut::None) {
-      for (const int fd : std::exchange(mHeld, {})) {
-        mLoop.Close(fd);
-      }
-      for (const auto& [fd, peer] : mPeers) {
-        mLoop.SetEvents(fd, POLLIN);
+    const bool isCut = cut != Cut::None;
+    for (const auto& [fd, at] : mListeners) {
+      mLoop.SetEvents(fd, isCut ? 0 : POLLIN);
+      listen(fd, isCut ? 0 : kBacklog);
+      for (int i = 0; isCut && i < kFillers; ++i) {
+        const int filler =
+          socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+        const sockaddr_in a = ToSockaddr(at);
+        connect(filler, reinterpret_cast<const sockaddr*>(&a), sizeof(a));
+        mFillers.push_back(filler);
       }
     }
+    if (isCut) {
+      return;
+    }
+    for (const int fd : std::exchange(mFillers, {})) {
+      close(fd);
+    }
+    for (const auto& [fd, peer] : mPeers) {
+      mLoop.SetEvents(fd, POLLIN);
+    }
   }
 
 private:
+  static constexpr int kBacklog = 128;
+  // A queue of length zero takes one connection.
+  static constexpr int kFillers = 3;
+
   void Listen(const Addr& at, const Addr& target)
   {
     const int fd = Bind(SOCK_STREAM, at);
-    if (listen(fd, 128) != 0) {
+    if (listen(fd, kBacklog) != 0) {
       throw CannotRun("cannot listen on " + at.Text());
     }
+    mListeners[fd] = at;
     mLoop.Add(fd, POLLIN, [this, fd, target](short) {
       const int in =
         accept4(fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
       if (in < 0) {
         return;
       }
-      if (mCut != Cut::None) {
-        mHeld.insert(in);
-        mLoop.Add(in, 0, [this, in](short) {
-          mHeld.erase(in);
-          mLoop.Close(in);
-        });
-        return;
-      }
       const int out = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
       const sockaddr_in a = ToSockaddr(target);
       if (connect(out, reinterpret_cast<const sockaddr*>(&a), sizeof(a)) != 0) {
@@ -146,7 +156,8 @@
   std::map<uint32_t, std::unique_ptr<Udp>> mFromInside;
   std::map<uint32_t, std::unique_ptr<Udp>> mFromOutside;
   std::map<int, int> mPeers;
-  std::set<int> mHeld;
+  std::map<int, Addr> mListeners;
+  std::vector<int> mFillers;
 };
 
 #endif
